--- /dev/null
+++ b/src/http/client.c
@@ -0,0 +1,313 @@
+#include "http/client.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "filbertquay/errors.h"
+
+#define FQ_MS_PER_SECOND 1000.0
+#define FQ_KEEP_ALIVE_MARGIN_MS 1500 /* before the server's own limit */
+
+/* A connection, and the call that it carries. */
+struct fq_http_call
+{
+  fq_http_client_t *client;
+  fq_stream_t *stream;
+  fq_list_t link; /* among the client's calls, or its kept connections */
+  fq_http_reader_t reader;
+  ev_timer limit;                          /* of the call, or of idleness */
+  const fq_http_call_handlers_t *handlers; /* NULL: the connection is kept */
+  void *context;
+  fq_time_t kept_since;
+  bool connected;
+  bool answer_began;
+  bool output_is_out;
+};
+
+struct fq_http_client
+{
+  fq_io_t *io;
+  struct sockaddr_in address;
+  fq_http_client_options_t options;
+  fq_list_t calls;
+  fq_list_t kept; /* the one used last comes first */
+};
+
+static void
+free_call (fq_http_call_t *call)
+{
+  fq_list_remove (&call->link);
+  ev_timer_stop (call->client->io->loop, &call->limit);
+  fq_http_reader_clear (&call->reader);
+  free (call);
+}
+
+void
+fq_http_call_abort (fq_http_call_t *call)
+{
+  fq_stream_close (call->stream);
+  free_call (call);
+}
+
+static void
+set_limit (fq_http_call_t *call, uint32_t ms)
+{
+  struct ev_loop *loop = call->client->io->loop;
+
+  ev_timer_stop (loop, &call->limit);
+  if (ms == 0)
+    return;
+  ev_timer_set (&call->limit, ms / FQ_MS_PER_SECOND, 0.);
+  ev_timer_start (loop, &call->limit);
+}
+
+static void
+fail_call (fq_http_call_t *call, fq_http_failure_t failure)
+{
+  const fq_http_call_handlers_t *handlers = call->handlers;
+  void *context = call->context;
+
+  fq_http_call_abort (call);
+  if (handlers != NULL)
+    handlers->failed (context, failure);
+}
+
+static void
+on_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  fail_call (timer->data, FQ_HTTP_FAILURE_TIMEOUT);
+}
+
+static uint32_t
+idle_ms (const fq_http_call_t *call)
+{
+  uint32_t ours = call->client->options.idle_ms;
+  uint32_t theirs = call->reader.keep_alive_seconds * (uint32_t)FQ_MS_PER_SECOND;
+
+  if (theirs == 0)
+    return ours;
+  if (theirs <= FQ_KEEP_ALIVE_MARGIN_MS)
+    return 1;
+  theirs -= FQ_KEEP_ALIVE_MARGIN_MS;
+  return theirs < ours ? theirs : ours;
+}
+
+static void
+keep (fq_http_call_t *call)
+{
+  call->handlers = NULL;
+  call->kept_since = fq_io_now (call->client->io);
+  fq_list_remove (&call->link);
+  fq_list_prepend (&call->client->kept, &call->link);
+  set_limit (call, idle_ms (call));
+}
+
+/* @surplus: bytes came after the answer, which belong to no request. */
+static void
+finish_call (fq_http_call_t *call, bool surplus)
+{
+  const fq_http_call_handlers_t *handlers = call->handlers;
+  void *context = call->context;
+  bool keep_alive = call->reader.keep_alive && call->output_is_out && !surplus;
+  fq_http_message_t *answer = fq_http_reader_take (&call->reader);
+
+  if (keep_alive)
+    keep (call);
+  else
+    fq_http_call_abort (call);
+  handlers->answered (context, answer);
+  fq_http_message_unref (answer);
+}
+
+static bool
+belongs (const fq_http_call_t *call)
+{
+  return call->handlers->belongs == NULL
+         || call->handlers->belongs (call->context, call->reader.message);
+}
+
+static void
+on_received (void *context, const uint8_t *data, size_t size)
+{
+  fq_http_call_t *call = context;
+  size_t offset = 0;
+
+  if (call->handlers == NULL)
+    {
+      fq_http_call_abort (call);
+      return;
+    }
+  call->answer_began = true;
+  while (offset < size)
+    {
+      size_t used;
+      fq_http_progress_t progress
+          = fq_http_reader_feed (&call->reader, data + offset, size - offset, &used);
+
+      offset += used;
+      if (progress == FQ_HTTP_BAD)
+        {
+          fail_call (call, FQ_HTTP_FAILURE_BROKEN);
+          return;
+        }
+      if (progress == FQ_HTTP_MORE)
+        return;
+      if (belongs (call))
+        {
+          finish_call (call, offset < size);
+          return;
+        }
+      fq_http_message_unref (fq_http_reader_take (&call->reader));
+    }
+}
+
+static void
+on_ended (void *context, fq_stream_end_t end)
+{
+  fq_http_call_t *call = context;
+
+  switch (end)
+    {
+    case FQ_STREAM_END_REFUSED:
+      fail_call (call, FQ_HTTP_FAILURE_REFUSED);
+      return;
+    case FQ_STREAM_END_RESET:
+      fail_call (call,
+                 call->answer_began ? FQ_HTTP_FAILURE_BROKEN : FQ_HTTP_FAILURE_LOST);
+      return;
+    case FQ_STREAM_END_CLEAN:
+      break;
+    }
+  if (call->handlers != NULL && fq_http_reader_end (&call->reader) == FQ_HTTP_WHOLE
+      && belongs (call))
+    finish_call (call, true);
+  else
+    fail_call (call, call->answer_began ? FQ_HTTP_FAILURE_BROKEN : FQ_HTTP_FAILURE_LOST);
+}
+
+static void
+on_drained (void *context)
+{
+  fq_http_call_t *call = context;
+
+  call->output_is_out = true;
+}
+
+static const fq_stream_handlers_t stream_handlers = {
+  .received = on_received,
+  .ended = on_ended,
+  .drained = on_drained,
+};
+
+int
+fq_http_client_new (fq_http_client_t **out,
+                    fq_io_t *io,
+                    const struct sockaddr_in *address,
+                    const fq_http_client_options_t *options)
+{
+  fq_http_client_t *client = calloc (1, sizeof *client);
+
+  if (client == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "no memory for a client");
+  client->io = io;
+  client->address = *address;
+  client->options = *options;
+  fq_list_init (&client->calls);
+  fq_list_init (&client->kept);
+  *out = client;
+  return FQ_OK;
+}
+
+static fq_http_call_t *
+kept_connection (fq_http_client_t *client, uint32_t kept_ms_max)
+{
+  fq_list_t *link = fq_list_first (&client->kept);
+  fq_http_call_t *call;
+  fq_time_t idle;
+
+  if (link == NULL)
+    return NULL;
+  call = FQ_LIST_ENTRY (link, fq_http_call_t, link);
+  idle = fq_io_now (client->io) - call->kept_since;
+  if (kept_ms_max > 0 && idle > (fq_time_t)kept_ms_max * FQ_MICROSECONDS_PER_MS)
+    return NULL;
+  return call;
+}
+
+static int
+new_connection (fq_http_call_t **out, fq_http_client_t *client)
+{
+  fq_http_call_t *call = calloc (1, sizeof *call);
+  int error;
+
+  if (call == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "no memory for a call");
+  error = fq_stream_connect (&call->stream, client->io, &client->address, NULL,
+                             &stream_handlers, call);
+  if (error < 0)
+    {
+      free (call);
+      return error;
+    }
+  call->client = client;
+  fq_list_init (&call->link);
+  fq_http_reader_init (&call->reader, FQ_HTTP_ANSWERS, &client->options.limits);
+  ev_timer_init (&call->limit, on_limit, 0., 0.);
+  call->limit.data = call;
+  *out = call;
+  return FQ_OK;
+}
+
+int
+fq_http_client_call (fq_http_call_t **out,
+                     fq_http_client_t *client,
+                     const fq_http_message_t *request,
+                     const fq_http_call_options_t *options,
+                     const fq_http_call_handlers_t *handlers,
+                     void *context)
+{
+  fq_http_call_t *call = kept_connection (client, options->kept_ms_max);
+  int error;
+
+  if (call == NULL)
+    {
+      error = new_connection (&call, client);
+      if (error < 0)
+        return error;
+    }
+  call->handlers = handlers;
+  call->context = context;
+  call->answer_began = false;
+  call->output_is_out = false;
+  call->reader.to_head_request = strcmp (request->method, "HEAD") == 0;
+  fq_list_remove (&call->link);
+  fq_list_append (&client->calls, &call->link);
+  set_limit (call, options->timeout_ms);
+  fq_http_write_request (fq_stream_output (call->stream), request);
+  *out = call;
+  return FQ_OK;
+}
+
+void
+fq_http_client_forget_kept (fq_http_client_t *client)
+{
+  fq_list_t *link;
+
+  while ((link = fq_list_first (&client->kept)) != NULL)
+    fq_http_call_abort (FQ_LIST_ENTRY (link, fq_http_call_t, link));
+}
+
+void
+fq_http_client_free (fq_http_client_t *client)
+{
+  fq_list_t *link;
+
+  if (client == NULL)
+    return;
+  fq_http_client_forget_kept (client);
+  while ((link = fq_list_first (&client->calls)) != NULL)
+    fq_http_call_abort (FQ_LIST_ENTRY (link, fq_http_call_t, link));
+  free (client);
+}
--- /dev/null
+++ b/src/http/message.c
@@ -0,0 +1,219 @@
+#include "http/message.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "util/text.h"
+
+#define FQ_STATUS_NO_CONTENT 204
+#define FQ_STATUS_NOT_MODIFIED 304
+
+static const struct
+{
+  uint16_t status;
+  const char *reason;
+} reasons[] = {
+  { 200, "OK" },
+  { 201, "Created" },
+  { 202, "Accepted" },
+  { 204, "No Content" },
+  { 304, "Not Modified" },
+  { 400, "Bad Request" },
+  { 401, "Unauthorized" },
+  { 403, "Forbidden" },
+  { 404, "Not Found" },
+  { 405, "Method Not Allowed" },
+  { 408, "Request Timeout" },
+  { 409, "Conflict" },
+  { 413, "Content Too Large" },
+  { 421, "Misdirected Request" },
+  { 429, "Too Many Requests" },
+  { 431, "Request Header Fields Too Large" },
+  { 500, "Internal Server Error" },
+  { 501, "Not Implemented" },
+  { 502, "Bad Gateway" },
+  { 503, "Service Unavailable" },
+  { 504, "Gateway Timeout" },
+  { 505, "HTTP Version Not Supported" },
+};
+
+static const char *
+reason_of (uint16_t status)
+{
+  for (size_t i = 0; i < sizeof reasons / sizeof reasons[0]; i++)
+    {
+      if (reasons[i].status == status)
+        return reasons[i].reason;
+    }
+  return "Status";
+}
+
+fq_http_message_t *
+fq_http_message_new (void)
+{
+  fq_http_message_t *message = calloc (1, sizeof *message);
+
+  if (message == NULL)
+    abort ();
+  message->references = 1;
+  message->fields = strdup ("");
+  if (message->fields == NULL)
+    abort ();
+  return message;
+}
+
+fq_http_message_t *
+fq_http_message_copy (const fq_http_message_t *message)
+{
+  fq_http_message_t *copy = malloc (sizeof *copy);
+
+  if (copy == NULL)
+    abort ();
+  *copy = *message;
+  copy->references = 1;
+  copy->fields = strdup (message->fields);
+  copy->target = message->target == NULL ? NULL : strdup (message->target);
+  if (copy->fields == NULL || (message->target != NULL && copy->target == NULL))
+    abort ();
+  fq_blob_ref (copy->body);
+  return copy;
+}
+
+fq_http_message_t *
+fq_http_message_ref (fq_http_message_t *message)
+{
+  if (message != NULL)
+    message->references++;
+  return message;
+}
+
+void
+fq_http_message_unref (fq_http_message_t *message)
+{
+  if (message == NULL || --message->references > 0)
+    return;
+  fq_blob_unref (message->body);
+  free (message->target);
+  free (message->fields);
+  free (message);
+}
+
+size_t
+fq_http_message_body_size (const fq_http_message_t *message)
+{
+  return message->body == NULL ? 0 : message->body->size;
+}
+
+static const char *
+next_line (const char *line)
+{
+  return strstr (line, "\r\n") + 2;
+}
+
+static bool
+is_field (const char *line, const char *name, size_t length)
+{
+  return strncasecmp (line, name, length) == 0 && line[length] == ':';
+}
+
+bool
+fq_http_message_get (const fq_http_message_t *message,
+                     const char *name,
+                     char *out,
+                     size_t size)
+{
+  size_t length = strlen (name);
+
+  out[0] = '\0';
+  for (const char *line = message->fields; *line != '\0'; line = next_line (line))
+    {
+      const char *value = line + length + 2;
+      size_t value_length;
+
+      if (!is_field (line, name, length))
+        continue;
+      value_length = (size_t)(next_line (line) - 2 - value);
+      if (value_length >= size)
+        return false;
+      memcpy (out, value, value_length);
+      out[value_length] = '\0';
+      return true;
+    }
+  return false;
+}
+
+void
+fq_http_message_drop (fq_http_message_t *message, const char *name)
+{
+  size_t length = strlen (name);
+  char *line = message->fields;
+
+  while (*line != '\0')
+    {
+      const char *following = next_line (line);
+
+      if (is_field (line, name, length))
+        memmove (line, following, strlen (following) + 1);
+      else
+        line = (char *)following;
+    }
+}
+
+void
+fq_http_message_add (fq_http_message_t *message, const char *name, const char *value)
+{
+  size_t old = strlen (message->fields);
+  size_t size = old + strlen (name) + strlen (value) + sizeof ": \r\n";
+  char *grown = realloc (message->fields, size);
+
+  if (grown == NULL)
+    abort ();
+  snprintf (grown + old, size - old, "%s: %s\r\n", name, value);
+  message->fields = grown;
+}
+
+void
+fq_http_write_request (fq_buffer_t *out, const fq_http_message_t *message)
+{
+  size_t size = fq_http_message_body_size (message);
+
+  fq_buffer_add_text (out, message->method);
+  fq_buffer_add_text (out, " ");
+  fq_buffer_add_text (out, message->target);
+  fq_buffer_add_text (out, " HTTP/1.1\r\n");
+  fq_buffer_add_text (out, message->fields);
+  if (size > 0 || strcmp (message->method, "POST") == 0
+      || strcmp (message->method, "PUT") == 0)
+    fq_buffer_printf (out, "Content-Length: %zu\r\n", size);
+  fq_buffer_add_text (out, "\r\n");
+  if (size > 0)
+    fq_buffer_add (out, message->body->data, size);
+}
+
+static bool
+has_no_body (uint16_t status)
+{
+  return status == FQ_STATUS_NO_CONTENT || status == FQ_STATUS_NOT_MODIFIED;
+}
+
+void
+fq_http_write_answer (fq_buffer_t *out,
+                      const fq_http_message_t *message,
+                      bool close,
+                      bool head_only)
+{
+  size_t size = fq_http_message_body_size (message);
+
+  fq_buffer_printf (out, "HTTP/1.1 %u %s\r\n", message->status,
+                    reason_of (message->status));
+  fq_buffer_add_text (out, message->fields);
+  if (close)
+    fq_buffer_add_text (out, "Connection: close\r\n");
+  if (!has_no_body (message->status) && !head_only)
+    fq_buffer_printf (out, "Content-Length: %zu\r\n", size);
+  fq_buffer_add_text (out, "\r\n");
+  if (size > 0 && !head_only)
+    fq_buffer_add (out, message->body->data, size);
+}
--- /dev/null
+++ b/src/mesh/choice.c
@@ -0,0 +1,132 @@
+/**
+ * DOC: Which gate gets an attempt.
+ *
+ * Answers servers of one service that differ in speed, and zones between which bytes are
+ * dear: the cost of a gate is the answer time that it is expected to give, and a gate of
+ * another zone has to be better by a margin that grows with the size of the request.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+#define FQ_SLOWNESS_WEIGHT 0.15 /* of the newest answer */
+#define FQ_FAILING_WEIGHT 0.1
+#define FQ_FORGIVE_US (4.0 * FQ_MICROSECONDS_PER_SECOND) /* old judgements fade */
+#define FQ_ROOM_FADES_US                                                                 \
+  (500.0 * FQ_MICROSECONDS_PER_MS) /* what a gate told of its load says little after it  \
+                                    */
+#define FQ_SLOWNESS_MAX 8.0
+#define FQ_FULLNESS_COST 0.6 /* of a full gate, against an empty one */
+#define FQ_FAILING_COST 4.0
+#define FQ_OTHER_ZONE_COST 0.35
+#define FQ_OTHER_ZONE_BYTES 20000.0 /* a body of this size doubles it */
+#define FQ_DRAINING_COST 50.0
+
+static double
+load_of (const fq_mesh_t *mesh, const fq_peer_t *peer)
+{
+  double age = (double)(mesh->now - peer->room_at);
+  double known = peer->room.in_flight + peer->room.queued;
+
+  return known / (1 + age / FQ_ROOM_FADES_US) + peer->sent_since;
+}
+
+static double
+fading (const fq_mesh_t *mesh, const fq_peer_t *peer)
+{
+  return 1 / (1 + (double)(mesh->now - peer->judged_at) / FQ_FORGIVE_US);
+}
+
+static double
+cost_of (const fq_mesh_t *mesh, const fq_peer_t *peer, size_t bytes)
+{
+  double limit = peer->room.limit > 0 ? peer->room.limit : 1;
+  double full = load_of (mesh, peer) / limit;
+  double trust = fading (mesh, peer);
+  double cost = 1 + (peer->slowness - 1) * trust;
+
+  cost += FQ_FULLNESS_COST * full * full;
+  if (full > 1)
+    cost += (full - 1) * 4;
+  cost += FQ_FAILING_COST * peer->failing * trust;
+  if (strcmp (peer->zone, mesh->zone) != 0)
+    cost += FQ_OTHER_ZONE_COST * (1 + (double)bytes / FQ_OTHER_ZONE_BYTES);
+  if (peer->server.phase == FQ_PHASE_DRAINING)
+    cost += FQ_DRAINING_COST;
+  return cost;
+}
+
+static bool
+is_candidate (const fq_peer_t *peer, const fq_exchange_t *exchange)
+{
+  if (peer->link != FQ_LINK_UP || !peer->welcomed || peer->server.phase == FQ_PHASE_ABSENT
+      || strcmp (peer->server.service, exchange->service) != 0)
+    return false;
+  for (size_t i = 0; i < exchange->tried_count; i++)
+    {
+      if (exchange->tried[i] == peer->address)
+        return false;
+    }
+  return true;
+}
+
+fq_peer_t *
+fq_choice_of_gate (fq_mesh_t *mesh, const fq_exchange_t *exchange)
+{
+  size_t bytes = fq_http_message_body_size (exchange->message);
+  fq_peer_t *best = NULL;
+  double best_cost = 0;
+  size_t cursor = 0;
+  fq_peer_t *peer;
+
+  while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
+    {
+      double cost;
+
+      if (!is_candidate (peer, exchange))
+        continue;
+      cost = cost_of (mesh, peer, bytes) * (1 + fq_random_unit (&mesh->random) * 0.1);
+      if (best != NULL && cost >= best_cost)
+        continue;
+      best = peer;
+      best_cost = cost;
+    }
+  return best;
+}
+
+static fq_route_time_t *
+route_time (fq_mesh_t *mesh, uint64_t route, fq_time_t took)
+{
+  fq_route_time_t *time = fq_map_get (&mesh->route_times, route);
+
+  if (time != NULL)
+    return time;
+  time = calloc (1, sizeof *time);
+  if (time == NULL || fq_map_set (&mesh->route_times, route, time) < 0)
+    abort ();
+  time->mean_us = (double)took;
+  return time;
+}
+
+void
+fq_choice_judge (
+    fq_mesh_t *mesh, fq_peer_t *peer, uint64_t route, fq_time_t took, bool failed)
+{
+  double trust = fading (mesh, peer);
+  fq_route_time_t *time;
+  double ratio;
+
+  peer->failing = peer->failing * trust;
+  peer->slowness = 1 + (peer->slowness - 1) * trust;
+  peer->judged_at = mesh->now;
+  peer->failing += ((failed ? 1 : 0) - peer->failing) * FQ_FAILING_WEIGHT;
+  if (failed || took <= 0)
+    return;
+  time = route_time (mesh, route, took);
+  ratio = (double)took / time->mean_us;
+  time->mean_us += ((double)took - time->mean_us) * 0.05;
+  if (ratio > FQ_SLOWNESS_MAX)
+    ratio = FQ_SLOWNESS_MAX;
+  peer->slowness += (ratio - peer->slowness) * FQ_SLOWNESS_WEIGHT;
+}
--- /dev/null
+++ b/src/mesh/gate.c
@@ -0,0 +1,595 @@
+/**
+ * DOC: Runs at the server beside this node: what starts, waits or is refused.
+ *
+ * Only this gate reaches its server, so what it says of a request is first-hand. It
+ * refuses at once what it can't start in time, and what it refused never runs.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+#define FQ_GRANT_US (1 * FQ_MICROSECONDS_PER_SECOND) /* for the request to follow */
+#define FQ_OVERDUE_US                                                                    \
+  (60 * FQ_MICROSECONDS_PER_SECOND) /* a silent server holds a run no longer than that   \
+                                       after its deadline */
+#define FQ_IN_TIME_SHARE 0.85 /* of the time left, that waiting and running may take */
+#define FQ_RETRY_SHARE 0.5    /* of the allowed repeats: their own calls repeat too */
+#define FQ_RETRY_AFTER_BASE_MS 150
+#define FQ_RETRY_AFTER_RANK_MS 120 /* those of a lower rank come back first */
+#define FQ_KEY_MIX 0x9E3779B97F4A7C15ULL
+
+static uint64_t
+attempt_key (fq_id_t asker, fq_id_t attempt)
+{
+  return (asker * FQ_KEY_MIX ^ attempt) | (1ULL << 63);
+}
+
+static fq_gate_run_t *
+run_of (const fq_mesh_t *mesh, fq_id_t asker, fq_id_t attempt)
+{
+  fq_gate_run_t *run
+      = fq_map_get (&mesh->gate.runs_by_attempt, attempt_key (asker, attempt));
+
+  return run != NULL && run->asker == asker && run->attempt == attempt ? run : NULL;
+}
+
+void
+fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out)
+{
+  const fq_waiting_t *waiting = &mesh->gate.waiting;
+
+  *out = (fq_room_t){
+    .limit = waiting->limit,
+    .in_flight = waiting->in_flight,
+    .queued = waiting->queued,
+    .wait_ms
+    = (uint32_t)(fq_waiting_time (waiting, FQ_RANKS - 1) / FQ_MICROSECONDS_PER_MS),
+    .config_version = fq_mesh_config_version (mesh),
+  };
+}
+
+bool
+fq_gate_takes_work (const fq_mesh_t *mesh)
+{
+  const fq_gate_t *gate = &mesh->gate;
+
+  if (mesh->stopping)
+    return false;
+  switch (gate->server.phase)
+    {
+    case FQ_PHASE_ABSENT:
+      return false;
+    case FQ_PHASE_READY:
+      return true;
+    case FQ_PHASE_DRAINING:
+      return mesh->now < gate->drain_until;
+    }
+  return false;
+}
+
+static uint32_t
+retry_after_ms (const fq_mesh_t *mesh, uint32_t rank)
+{
+  return FQ_RETRY_AFTER_BASE_MS + rank * FQ_RETRY_AFTER_RANK_MS
+         + (uint32_t)(fq_waiting_time (&mesh->gate.waiting, rank)
+                      / FQ_MICROSECONDS_PER_MS);
+}
+
+static void
+tell_end (fq_mesh_t *mesh,
+          fq_id_t asker,
+          fq_id_t attempt,
+          fq_frame_kind_t kind,
+          fq_refusal_t cause,
+          bool reached_server,
+          uint32_t rank)
+{
+  fq_frame_t frame = {
+    .kind = kind,
+    .attempt = attempt,
+    .cause = cause,
+    .reached_server = reached_server,
+    .retry_after_ms = retry_after_ms (mesh, rank),
+  };
+
+  mesh->metrics.refusals[cause]++;
+  if (asker != 0)
+    fq_mesh_to_asker (mesh, asker, &frame);
+}
+
+static void
+log_refusal (fq_mesh_t *mesh, const fq_offer_t *offer, fq_refusal_t cause)
+{
+  const fq_waiting_t *waiting = &mesh->gate.waiting;
+
+  fq_mesh_log (
+      mesh, false,
+      "event=gate-refused id=%s cause=%s rank=%u remaining_ms=%u phase=%s "
+      "limit=%u in_flight=%u queued=%u wait_ms=%lld",
+      offer->request_id, fq_refusal_name (cause), offer->rank, offer->remaining_ms,
+      fq_phase_name (mesh->gate.server.phase), waiting->limit, waiting->in_flight,
+      waiting->queued,
+      (long long)(fq_waiting_time (waiting, offer->rank) / FQ_MICROSECONDS_PER_MS));
+}
+
+static void
+free_run (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  fq_map_remove (&mesh->gate.runs_by_id, run->id);
+  fq_map_remove (&mesh->gate.runs_by_attempt, attempt_key (run->asker, run->attempt));
+  fq_timers_cancel (&mesh->timers, &run->timer);
+  fq_list_remove (&run->link);
+  fq_http_message_unref (run->message);
+  free (run);
+}
+
+/* @took: how long the server worked, 0 when that tells nothing of its speed. */
+static void
+release_room (fq_mesh_t *mesh, fq_gate_run_t *run, fq_time_t took)
+{
+  if (run->stage == FQ_STAGE_WAITING)
+    fq_waiting_remove (&mesh->gate.waiting, &run->waiting);
+  else
+    fq_waiting_end (&mesh->gate.waiting, &run->waiting, took);
+}
+
+static void
+refuse_run (fq_mesh_t *mesh, fq_gate_run_t *run, fq_refusal_t cause, bool reached_server)
+{
+  log_refusal (mesh, &run->offer, cause);
+  release_room (mesh, run, 0);
+  tell_end (mesh, run->asker, run->attempt, FQ_FRAME_REFUSE, cause, reached_server,
+            run->offer.rank);
+  free_run (mesh, run);
+}
+
+static void
+start (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  fq_mesh_effect_t *effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_CALL);
+  fq_time_t left = run->deadline - mesh->now;
+
+  run->stage = FQ_STAGE_RUNNING;
+  run->started = mesh->now;
+  effect->server_call.run = run->id;
+  effect->server_call.remaining_ms
+      = left > 0 ? (uint32_t)(left / FQ_MICROSECONDS_PER_MS) : 1;
+  effect->server_call.idempotent = run->offer.idempotent;
+  effect->server_call.message = fq_http_message_ref (run->message);
+  memcpy (effect->server_call.instance, mesh->gate.server.instance, FQ_INSTANCE_BYTES);
+  memcpy (effect->server_call.caller, run->offer.caller, FQ_NAME_BYTES);
+  memcpy (effect->server_call.request_id, run->offer.request_id, FQ_REQUEST_ID_BYTES);
+  mesh->metrics.counters[FQ_METRIC_RUNS]++;
+  fq_histogram_add (&mesh->metrics.wait_us, mesh->now - run->arrived);
+  fq_timers_arm (&mesh->timers, &run->timer, run->deadline + FQ_OVERDUE_US);
+}
+
+static void
+grant (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_GRANT, .attempt = run->attempt };
+
+  run->stage = FQ_STAGE_GRANTED;
+  fq_mesh_to_asker (mesh, run->asker, &frame);
+  fq_timers_arm (&mesh->timers, &run->timer, mesh->now + FQ_GRANT_US);
+}
+
+static void
+take_room (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  fq_waiting_start (&mesh->gate.waiting, &run->waiting);
+  if (run->message != NULL)
+    start (mesh, run);
+  else
+    grant (mesh, run);
+}
+
+/* The last moment at which the run can start and still end in time. */
+static fq_time_t
+last_start (const fq_mesh_t *mesh, const fq_gate_run_t *run)
+{
+  fq_time_t expected = fq_waiting_expect (&mesh->gate.waiting, run->offer.route);
+  fq_time_t allowed = run->deadline - run->arrived;
+
+  if (expected > allowed / 2)
+    expected = allowed / 2;
+  return run->deadline - expected;
+}
+
+static void
+wait_for_room (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  run->stage = FQ_STAGE_WAITING;
+  fq_waiting_push (&mesh->gate.waiting, &run->waiting);
+  fq_timers_arm (&mesh->timers, &run->timer, last_start (mesh, run));
+}
+
+void
+fq_gate_progress (fq_mesh_t *mesh)
+{
+  fq_waiting_t *waiting = &mesh->gate.waiting;
+
+  while (fq_waiting_has_room (waiting) && fq_gate_takes_work (mesh))
+    {
+      fq_waiting_entry_t *entry = fq_waiting_next (waiting);
+      fq_gate_run_t *run;
+
+      if (entry == NULL)
+        return;
+      run = FQ_LIST_ENTRY (entry, fq_gate_run_t, waiting);
+      fq_waiting_remove (waiting, entry);
+      take_room (mesh, run);
+    }
+}
+
+static fq_refusal_t
+check_room (const fq_mesh_t *mesh, const fq_offer_t *offer)
+{
+  const fq_waiting_t *waiting = &mesh->gate.waiting;
+  fq_time_t wait = fq_waiting_time (waiting, offer->rank);
+  fq_time_t left = (fq_time_t)offer->remaining_ms * FQ_MICROSECONDS_PER_MS;
+  fq_time_t run = fq_waiting_expect (waiting, offer->route);
+
+  if (left <= 0)
+    return FQ_REFUSAL_EXPIRED;
+  if (wait == 0 && waiting->queued == 0)
+    return FQ_REFUSAL_NONE;
+  if ((double)(wait + run) > (double)left * FQ_IN_TIME_SHARE)
+    return FQ_REFUSAL_NO_ROOM;
+  return FQ_REFUSAL_NONE;
+}
+
+static bool
+may_repeat (fq_mesh_t *mesh)
+{
+  const fq_mesh_bounds_t *bounds = &mesh->bounds;
+  size_t gates = fq_peer_count_gates (mesh, mesh->gate.server.service);
+  double slack = (double)bounds->retry_slack / (double)(gates > 0 ? gates : 1);
+
+  return fq_retry_budget_spend (&mesh->gate.budget, mesh->now,
+                                bounds->retry_ratio * FQ_RETRY_SHARE,
+                                slack * FQ_RETRY_SHARE);
+}
+
+static fq_refusal_t
+check_offer (fq_mesh_t *mesh, const fq_offer_t *offer)
+{
+  fq_refusal_t cause;
+
+  if (!fq_gate_takes_work (mesh)
+      || strcmp (mesh->gate.server.service, offer->service) != 0)
+    return FQ_REFUSAL_NO_SERVER;
+  if (fq_blame_crashes (&mesh->blame, offer->fingerprint) >= FQ_BLAME_CRASHES_MAX)
+    return FQ_REFUSAL_CRASHES;
+  cause = check_room (mesh, offer);
+  if (cause != FQ_REFUSAL_NONE)
+    return cause;
+  if (!offer->repeat)
+    {
+      fq_retry_budget_first (&mesh->gate.budget, mesh->now);
+      return FQ_REFUSAL_NONE;
+    }
+  if (!may_repeat (mesh))
+    return FQ_REFUSAL_RETRY_BUDGET;
+  mesh->metrics.counters[FQ_METRIC_REPEATS]++;
+  return FQ_REFUSAL_NONE;
+}
+
+static fq_gate_run_t *
+new_run (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
+{
+  fq_gate_run_t *run = calloc (1, sizeof *run);
+  uint32_t rank = frame->offer.rank < FQ_RANKS ? frame->offer.rank : FQ_RANKS - 1;
+
+  if (run == NULL)
+    abort ();
+  run->id = fq_mesh_next_id (mesh);
+  run->asker = asker;
+  run->attempt = frame->attempt;
+  run->offer = frame->offer;
+  run->offer.rank = rank;
+  run->message = fq_http_message_ref (frame->message);
+  run->arrived = mesh->now;
+  run->deadline
+      = mesh->now + (fq_time_t)frame->offer.remaining_ms * FQ_MICROSECONDS_PER_MS;
+  run->waiting.rank = rank;
+  run->waiting.route = frame->offer.route;
+  run->timer.kind = FQ_MESH_TIMER_RUN;
+  fq_list_init (&run->waiting.link);
+  fq_list_append (&mesh->gate.runs, &run->link);
+  if (fq_map_set (&mesh->gate.runs_by_id, run->id, run) < 0
+      || fq_map_set (&mesh->gate.runs_by_attempt, attempt_key (asker, run->attempt), run)
+             < 0)
+    abort ();
+  return run;
+}
+
+static void
+take_offer (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
+{
+  fq_refusal_t cause = check_offer (mesh, &frame->offer);
+  fq_gate_run_t *run;
+
+  if (cause != FQ_REFUSAL_NONE)
+    {
+      log_refusal (mesh, &frame->offer, cause);
+      tell_end (mesh, asker, frame->attempt, FQ_FRAME_REFUSE, cause, false,
+                frame->offer.rank);
+      return;
+    }
+  run = new_run (mesh, asker, frame);
+  if (fq_waiting_has_room (&mesh->gate.waiting) && mesh->gate.waiting.queued == 0)
+    take_room (mesh, run);
+  else
+    wait_for_room (mesh, run);
+}
+
+static void
+take_message (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
+{
+  fq_gate_run_t *run = run_of (mesh, asker, frame->attempt);
+
+  if (run == NULL || run->stage != FQ_STAGE_GRANTED || frame->message == NULL)
+    {
+      /* The grant was withdrawn meanwhile: the request did not run and will not. */
+      if (run == NULL)
+        tell_end (mesh, asker, frame->attempt, FQ_FRAME_REFUSE, FQ_REFUSAL_EXPIRED, false,
+                  0);
+      return;
+    }
+  if (!fq_gate_takes_work (mesh))
+    {
+      refuse_run (mesh, run, FQ_REFUSAL_NO_SERVER, false);
+      return;
+    }
+  run->message = fq_http_message_ref (frame->message);
+  start (mesh, run);
+}
+
+static void
+abort_run (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_ABORT)->run = run->id;
+  release_room (mesh, run, 0);
+  free_run (mesh, run);
+}
+
+/* Nobody waits for the answer. What may not be repeated is left to end by itself, since
+ * breaking it off could leave its work half done. */
+static void
+abandon_run (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  switch (run->stage)
+    {
+    case FQ_STAGE_WAITING:
+    case FQ_STAGE_GRANTED:
+      release_room (mesh, run, 0);
+      free_run (mesh, run);
+      break;
+    case FQ_STAGE_RUNNING:
+      if (run->offer.idempotent)
+        {
+          abort_run (mesh, run);
+          break;
+        }
+      fq_map_remove (&mesh->gate.runs_by_attempt, attempt_key (run->asker, run->attempt));
+      run->asker = 0;
+      break;
+    }
+}
+
+static void
+take_cancel (fq_mesh_t *mesh, fq_id_t asker, fq_id_t attempt)
+{
+  fq_gate_run_t *run = run_of (mesh, asker, attempt);
+
+  if (run == NULL)
+    return;
+  abandon_run (mesh, run);
+  fq_gate_progress (mesh);
+}
+
+void
+fq_gate_frame (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
+{
+  fq_frame_t pong = { .kind = FQ_FRAME_PONG };
+
+  switch (frame->kind)
+    {
+    case FQ_FRAME_OFFER:
+      take_offer (mesh, asker, frame);
+      break;
+    case FQ_FRAME_MESSAGE:
+      take_message (mesh, asker, frame);
+      break;
+    case FQ_FRAME_CANCEL:
+      take_cancel (mesh, asker, frame->attempt);
+      break;
+    case FQ_FRAME_PING:
+      fq_mesh_to_asker (mesh, asker, &pong);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+fq_gate_asker_lost (fq_mesh_t *mesh, fq_id_t asker)
+{
+  FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
+  {
+    fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
+
+    if (run->asker == asker)
+      abandon_run (mesh, run);
+  }
+  fq_gate_progress (mesh);
+}
+
+void
+fq_gate_refuse_waiting (fq_mesh_t *mesh, fq_refusal_t cause)
+{
+  FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
+  {
+    fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
+
+    if (run->stage == FQ_STAGE_WAITING)
+      refuse_run (mesh, run, cause, false);
+  }
+}
+
+static void
+tell_blame (fq_mesh_t *mesh, const uint64_t *fingerprints, size_t count)
+{
+  uint64_t crash = fq_random_next (&mesh->random);
+  size_t cursor = 0;
+  const fq_asker_t *asker;
+
+  for (size_t i = 0; i < count; i++)
+    fq_blame_add (&mesh->blame, mesh->now, fingerprints[i], crash);
+  while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
+    {
+      fq_frame_t frame = { .kind = FQ_FRAME_BLAME, .number = crash };
+
+      frame.fingerprints = malloc (count * sizeof *fingerprints);
+      if (frame.fingerprints == NULL)
+        abort ();
+      memcpy (frame.fingerprints, fingerprints, count * sizeof *fingerprints);
+      frame.fingerprint_count = count;
+      fq_mesh_to_asker (mesh, asker->id, &frame);
+    }
+}
+
+static void
+server_is_down (fq_mesh_t *mesh)
+{
+  uint64_t fingerprints[FQ_CRASH_LOST_MAX];
+  size_t count = fq_crash_watch_take (&mesh->gate.crash, mesh->now, fingerprints);
+
+  if (mesh->gate.server.phase != FQ_PHASE_ABSENT)
+    mesh->metrics.counters[FQ_METRIC_SERVER_CRASHES]++;
+  if (count > 0)
+    {
+      fq_mesh_log (mesh, true, "event=server-crash instance=%s blamed=%zu",
+                   mesh->gate.server.instance, count);
+      tell_blame (mesh, fingerprints, count);
+    }
+  fq_server_state_lost (mesh, "connection-refused");
+}
+
+static void
+finish_answered (fq_mesh_t *mesh, fq_gate_run_t *run, fq_http_message_t *answer)
+{
+  fq_time_t took = mesh->now - run->started;
+  fq_frame_t frame = { .kind = FQ_FRAME_ANSWER, .attempt = run->attempt };
+
+  mesh->gate.answered_at = mesh->now;
+  fq_blame_clear (&mesh->blame, run->offer.fingerprint);
+  fq_histogram_add (&mesh->metrics.run_us, took);
+  release_room (mesh, run, took);
+  if (run->asker != 0)
+    {
+      frame.message = fq_http_message_ref (answer);
+      fq_mesh_to_asker (mesh, run->asker, &frame);
+    }
+  free_run (mesh, run);
+}
+
+static void
+fail_run (fq_mesh_t *mesh, fq_gate_run_t *run, fq_refusal_t cause)
+{
+  fq_mesh_log (mesh, true, "event=run-failed id=%s instance=%s cause=%s ran_ms=%lld",
+               run->offer.request_id, mesh->gate.server.instance, fq_refusal_name (cause),
+               (long long)((mesh->now - run->started) / FQ_MICROSECONDS_PER_MS));
+  release_room (mesh, run, 0);
+  tell_end (mesh, run->asker, run->attempt, FQ_FRAME_FAILED, cause, true,
+            run->offer.rank);
+  free_run (mesh, run);
+}
+
+void
+fq_gate_answer (fq_mesh_t *mesh,
+                fq_id_t id,
+                fq_server_verdict_t verdict,
+                fq_http_message_t *answer)
+{
+  fq_gate_run_t *run = fq_map_get (&mesh->gate.runs_by_id, id);
+
+  if (run == NULL)
+    return;
+  switch (verdict)
+    {
+    case FQ_SERVER_ANSWERED:
+      finish_answered (mesh, run, answer);
+      break;
+    case FQ_SERVER_DID_NOT_RUN:
+      refuse_run (mesh, run, FQ_REFUSAL_SERVER_SAID, true);
+      break;
+    case FQ_SERVER_IS_ANOTHER:
+      refuse_run (mesh, run, FQ_REFUSAL_NO_SERVER, true);
+      fq_server_state_lost (mesh, "another-server");
+      break;
+    case FQ_SERVER_ANSWER_INVALID:
+      fail_run (mesh, run, FQ_REFUSAL_BROKEN);
+      break;
+    }
+  fq_gate_progress (mesh);
+}
+
+void
+fq_gate_failed (fq_mesh_t *mesh, fq_id_t id, fq_server_failure_t failure)
+{
+  fq_gate_run_t *run = fq_map_get (&mesh->gate.runs_by_id, id);
+
+  if (run == NULL)
+    return;
+  switch (failure)
+    {
+    case FQ_SERVER_REFUSED:
+      refuse_run (mesh, run, FQ_REFUSAL_CONNECT, false);
+      server_is_down (mesh);
+      break;
+    case FQ_SERVER_LOST:
+      fq_crash_watch_lost (&mesh->gate.crash, mesh->now, run->offer.fingerprint);
+      fail_run (mesh, run, FQ_REFUSAL_LOST);
+      break;
+    case FQ_SERVER_BROKEN:
+      fail_run (mesh, run, FQ_REFUSAL_BROKEN);
+      break;
+    }
+  fq_gate_progress (mesh);
+}
+
+void
+fq_gate_run_timer (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  switch (run->stage)
+    {
+    case FQ_STAGE_WAITING:
+      refuse_run (mesh, run, FQ_REFUSAL_NO_ROOM, false);
+      break;
+    case FQ_STAGE_GRANTED:
+      refuse_run (mesh, run, FQ_REFUSAL_EXPIRED, false);
+      break;
+    case FQ_STAGE_RUNNING:
+      abort_run (mesh, run);
+      break;
+    }
+  fq_gate_progress (mesh);
+}
+
+void
+fq_gate_free_all (fq_mesh_t *mesh)
+{
+  FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
+  {
+    fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
+
+    fq_http_message_unref (run->message);
+    free (run);
+  }
+  fq_map_clear (&mesh->gate.runs_by_id);
+  fq_map_clear (&mesh->gate.runs_by_attempt);
+  fq_waiting_clear (&mesh->gate.waiting);
+}
--- /dev/null
+++ b/src/mesh/mesh.c
@@ -0,0 +1,605 @@
+#include "mesh/mesh.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "filbertquay/errors.h"
+#include "mesh/mesh_private.h"
+#include "util/text.h"
+
+#define FQ_LOG_LINE_BYTES 384
+#define FQ_CONFIG_WAIT_US                                                                \
+  (300 * FQ_MICROSECONDS_PER_MS) /* for the store, before another node is asked */
+#define FQ_NODES_LONELY_US (2 * FQ_MICROSECONDS_PER_SECOND)
+#define FQ_NODES_US (60 * FQ_MICROSECONDS_PER_SECOND)
+#define FQ_READY_ALONE_US (1 * FQ_MICROSECONDS_PER_SECOND)
+#define FQ_STOP_CHECK_US (100 * FQ_MICROSECONDS_PER_MS)
+#define FQ_STOP_LINGER_US                                                                \
+  (2500 * FQ_MICROSECONDS_PER_MS) /* clients learn in this time that it is not ready */
+#define FQ_STOP_MARGIN_US                                                                \
+  (700 * FQ_MICROSECONDS_PER_MS) /* before the process is killed */
+
+/* A frame between our own entry and gate, which needs no connection. */
+typedef struct
+{
+  fq_list_t link;
+  bool to_gate;
+  fq_frame_t frame;
+} loopback_t;
+
+fq_mesh_effect_t *
+fq_mesh_effect (fq_mesh_t *mesh, fq_mesh_effect_kind_t kind)
+{
+  fq_mesh_effects_t *effects = mesh->effects;
+
+  if (effects->count == effects->capacity)
+    {
+      size_t capacity = effects->capacity == 0 ? 16 : effects->capacity * 2;
+      fq_mesh_effect_t *grown
+          = realloc (effects->items, capacity * sizeof *effects->items);
+
+      if (grown == NULL)
+        abort ();
+      effects->items = grown;
+      effects->capacity = capacity;
+    }
+  effects->items[effects->count] = (fq_mesh_effect_t){ .kind = kind };
+  return &effects->items[effects->count++];
+}
+
+static void
+clear_effect (fq_mesh_effect_t *effect)
+{
+  switch (effect->kind)
+    {
+    case FQ_MESH_EFFECT_REPLY:
+      fq_http_message_unref (effect->reply.answer);
+      break;
+    case FQ_MESH_EFFECT_TO_GATE:
+    case FQ_MESH_EFFECT_TO_ASKER:
+      fq_frame_clear (effect->frame.frame);
+      free (effect->frame.frame);
+      break;
+    case FQ_MESH_EFFECT_SERVER_CALL:
+      fq_http_message_unref (effect->server_call.message);
+      break;
+    case FQ_MESH_EFFECT_LOG:
+      free (effect->log.text);
+      break;
+    case FQ_MESH_EFFECT_LINK_OPEN:
+    case FQ_MESH_EFFECT_LINK_CLOSE:
+    case FQ_MESH_EFFECT_SERVER_ABORT:
+    case FQ_MESH_EFFECT_SERVER_FORGET:
+    case FQ_MESH_EFFECT_LIMITS:
+    case FQ_MESH_EFFECT_FIND_NODES:
+    case FQ_MESH_EFFECT_RETIRE:
+    case FQ_MESH_EFFECT_STOPPED:
+      break;
+    }
+}
+
+void
+fq_mesh_effects_clear (fq_mesh_effects_t *effects)
+{
+  for (size_t i = 0; i < effects->count; i++)
+    clear_effect (&effects->items[i]);
+  effects->count = 0;
+}
+
+void
+fq_mesh_effects_free (fq_mesh_effects_t *effects)
+{
+  fq_mesh_effects_clear (effects);
+  free (effects->items);
+  *effects = (fq_mesh_effects_t){ 0 };
+}
+
+void
+fq_mesh_log (fq_mesh_t *mesh, bool warning, const char *format, ...)
+{
+  fq_mesh_effect_t *effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_LOG);
+  char line[FQ_LOG_LINE_BYTES];
+  va_list arguments;
+
+  va_start (arguments, format);
+  vsnprintf (line, sizeof line, format, arguments);
+  va_end (arguments);
+  effect->log.warning = warning;
+  effect->log.text = strdup (line);
+  if (effect->log.text == NULL)
+    abort ();
+}
+
+fq_id_t
+fq_mesh_next_id (fq_mesh_t *mesh)
+{
+  return ++mesh->next_id;
+}
+
+static void
+loop_back (fq_mesh_t *mesh, bool to_gate, fq_frame_t *frame)
+{
+  loopback_t *loopback = calloc (1, sizeof *loopback);
+
+  if (loopback == NULL)
+    abort ();
+  loopback->to_gate = to_gate;
+  loopback->frame = *frame;
+  fq_list_append (&mesh->loopback, &loopback->link);
+}
+
+static fq_frame_t *
+copy_frame (const fq_frame_t *frame)
+{
+  fq_frame_t *copy = malloc (sizeof *copy);
+
+  if (copy == NULL)
+    abort ();
+  *copy = *frame;
+  return copy;
+}
+
+void
+fq_mesh_to_gate (fq_mesh_t *mesh, fq_node_address_t node, fq_frame_t *frame)
+{
+  fq_mesh_effect_t *effect;
+
+  if (node == mesh->address)
+    {
+      loop_back (mesh, true, frame);
+      return;
+    }
+  frame->room.config_version = fq_mesh_config_version (mesh);
+  effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_TO_GATE);
+  effect->frame.node = node;
+  effect->frame.frame = copy_frame (frame);
+}
+
+void
+fq_mesh_to_asker (fq_mesh_t *mesh, fq_id_t asker, fq_frame_t *frame)
+{
+  fq_mesh_effect_t *effect;
+
+  fq_gate_room (mesh, &frame->room);
+  if (asker == FQ_ASKER_SELF)
+    {
+      loop_back (mesh, false, frame);
+      return;
+    }
+  effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_TO_ASKER);
+  effect->frame.asker = asker;
+  effect->frame.frame = copy_frame (frame);
+}
+
+static void
+deliver_loopback (fq_mesh_t *mesh)
+{
+  fq_list_t *link;
+
+  while ((link = fq_list_first (&mesh->loopback)) != NULL)
+    {
+      loopback_t *loopback = FQ_LIST_ENTRY (link, loopback_t, link);
+
+      fq_list_remove (link);
+      if (loopback->to_gate)
+        fq_gate_frame (mesh, FQ_ASKER_SELF, &loopback->frame);
+      else
+        fq_peer_frame (mesh, mesh->self, &loopback->frame);
+      fq_frame_clear (&loopback->frame);
+      free (loopback);
+    }
+}
+
+static void
+send_config (fq_mesh_t *mesh, fq_id_t asker, fq_node_address_t node, uint64_t known)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG };
+
+  if (fq_mesh_config_version (mesh) <= known)
+    return;
+  frame.number = mesh->config->version;
+  frame.document_size = mesh->config->document_size;
+  frame.document = malloc (frame.document_size);
+  if (frame.document == NULL)
+    abort ();
+  memcpy (frame.document, mesh->config->document, frame.document_size);
+  if (asker != 0)
+    fq_mesh_to_asker (mesh, asker, &frame);
+  else
+    fq_mesh_to_gate (mesh, node, &frame);
+}
+
+static void
+ask_for_config (fq_mesh_t *mesh)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG_WANTED };
+  fq_peer_t *peer = fq_map_get (&mesh->peers, mesh->newest_at);
+
+  if (mesh->newest_seen <= fq_mesh_config_version (mesh) || peer == NULL
+      || peer->link != FQ_LINK_UP)
+    return;
+  frame.number = fq_mesh_config_version (mesh);
+  fq_mesh_log (mesh, false, "event=config-wanted have=%llu seen=%llu node=%08x",
+               (unsigned long long)frame.number, (unsigned long long)mesh->newest_seen,
+               mesh->newest_at);
+  fq_mesh_to_gate (mesh, mesh->newest_at, &frame);
+  fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
+}
+
+void
+fq_mesh_saw_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version)
+{
+  if (version <= fq_mesh_config_version (mesh))
+    return;
+  mesh->newest_seen = version;
+  mesh->newest_at = node;
+  if (mesh->config == NULL)
+    ask_for_config (mesh);
+  else if (mesh->config_timer.position == 0)
+    fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
+}
+
+static void
+take_config (fq_mesh_t *mesh, fq_config_t *config)
+{
+  uint64_t old = fq_mesh_config_version (mesh);
+
+  if (config->version <= old)
+    {
+      fq_mesh_log (mesh, false, "event=config-ignored version=%llu in_force=%llu",
+                   (unsigned long long)config->version, (unsigned long long)old);
+      return;
+    }
+  fq_config_unref (mesh->config);
+  mesh->config = fq_config_ref (config);
+  mesh->metrics.counters[FQ_METRIC_CONFIGS]++;
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_LIMITS)->limits = config->limits;
+  fq_mesh_log (mesh, false, "event=config-in-force version=%llu previous=%llu hosts=%zu",
+               (unsigned long long)config->version, (unsigned long long)old,
+               config->host_count);
+}
+
+static void
+learn_nodes (fq_mesh_t *mesh, const fq_node_address_t *addresses, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    fq_peer_learn (mesh, addresses[i], false);
+}
+
+static void
+look_for_nodes (fq_mesh_t *mesh)
+{
+  bool lonely = fq_peer_count_up (mesh) == 0;
+
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_FIND_NODES);
+  fq_timers_arm (&mesh->timers, &mesh->nodes_timer,
+                 mesh->now + (lonely ? FQ_NODES_LONELY_US : FQ_NODES_US));
+}
+
+static void
+welcome (fq_mesh_t *mesh, const fq_asker_t *asker)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_WELCOME, .server = mesh->gate.server };
+
+  memcpy (frame.zone, mesh->zone, sizeof frame.zone);
+  fq_peer_list (mesh, &frame);
+  fq_mesh_to_asker (mesh, asker->id, &frame);
+}
+
+static void
+take_hello (fq_mesh_t *mesh,
+            fq_id_t id,
+            fq_node_address_t address,
+            const fq_frame_t *frame)
+{
+  fq_asker_t *asker = calloc (1, sizeof *asker);
+
+  if (asker == NULL || fq_map_set (&mesh->askers, id, asker) < 0)
+    abort ();
+  asker->id = id;
+  asker->address = address;
+  fq_peer_learn (mesh, address, true);
+  learn_nodes (mesh, frame->nodes, frame->node_count);
+  welcome (mesh, asker);
+}
+
+static void
+take_asker_frame (fq_mesh_t *mesh, const fq_mesh_event_t *event)
+{
+  const fq_frame_t *frame = event->frame.frame;
+  fq_id_t asker = event->frame.asker;
+
+  fq_mesh_saw_version (mesh, event->frame.asker_address, frame->room.config_version);
+  switch (frame->kind)
+    {
+    case FQ_FRAME_HELLO:
+      take_hello (mesh, asker, event->frame.asker_address, frame);
+      break;
+    case FQ_FRAME_CONFIG_WANTED:
+      send_config (mesh, asker, 0, frame->number);
+      break;
+    case FQ_FRAME_OFFER:
+    case FQ_FRAME_MESSAGE:
+    case FQ_FRAME_CANCEL:
+    case FQ_FRAME_PING:
+      fq_gate_frame (mesh, asker, frame);
+      break;
+    case FQ_FRAME_WELCOME:
+    case FQ_FRAME_SERVER:
+    case FQ_FRAME_GRANT:
+    case FQ_FRAME_REFUSE:
+    case FQ_FRAME_ANSWER:
+    case FQ_FRAME_FAILED:
+    case FQ_FRAME_PONG:
+    case FQ_FRAME_BLAME:
+    case FQ_FRAME_CONFIG:
+      fq_mesh_log (mesh, true, "event=frame-ignored kind=%d asker=%llu", frame->kind,
+                   (unsigned long long)asker);
+      break;
+    }
+}
+
+static void
+take_gate_frame (fq_mesh_t *mesh, const fq_mesh_event_t *event)
+{
+  fq_peer_t *peer = fq_map_get (&mesh->peers, event->frame.node);
+
+  if (peer != NULL)
+    fq_peer_frame (mesh, peer, event->frame.frame);
+}
+
+static void
+lose_asker (fq_mesh_t *mesh, fq_id_t id)
+{
+  fq_asker_t *asker = fq_map_remove (&mesh->askers, id);
+
+  free (asker);
+  fq_gate_asker_lost (mesh, id);
+}
+
+/* What is under way ends; at last the process ends before it would be killed. */
+static void
+go_on_stopping (fq_mesh_t *mesh)
+{
+  fq_time_t since = mesh->now - mesh->stopping_since;
+  fq_time_t grace = (fq_time_t)mesh->bounds.grace_ms * FQ_MICROSECONDS_PER_MS;
+  bool idle = mesh->exchanges.count == 0 && mesh->gate.runs_by_id.count == 0;
+
+  if ((idle && since >= FQ_STOP_LINGER_US) || since >= grace - FQ_STOP_MARGIN_US)
+    {
+      fq_mesh_log (mesh, !idle, "event=stopped exchanges=%zu runs=%zu after_ms=%lld",
+                   mesh->exchanges.count, mesh->gate.runs_by_id.count,
+                   (long long)(since / FQ_MICROSECONDS_PER_MS));
+      fq_mesh_effect (mesh, FQ_MESH_EFFECT_STOPPED);
+      return;
+    }
+  fq_timers_arm (&mesh->timers, &mesh->stop_timer, mesh->now + FQ_STOP_CHECK_US);
+}
+
+static void
+begin_stopping (fq_mesh_t *mesh)
+{
+  if (mesh->stopping)
+    return;
+  mesh->stopping = true;
+  mesh->stopping_since = mesh->now;
+  fq_mesh_log (mesh, false, "event=stopping exchanges=%zu runs=%zu",
+               mesh->exchanges.count, mesh->gate.runs_by_id.count);
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_RETIRE);
+  fq_server_state_tell (mesh);
+  go_on_stopping (mesh);
+}
+
+static void
+fire (fq_mesh_t *mesh, fq_timer_entry_t *timer)
+{
+  switch ((fq_mesh_timer_t)timer->kind)
+    {
+    case FQ_MESH_TIMER_EXCHANGE:
+      fq_entry_expire (mesh, FQ_LIST_ENTRY (timer, fq_exchange_t, timer));
+      break;
+    case FQ_MESH_TIMER_RUN:
+      fq_gate_run_timer (mesh, FQ_LIST_ENTRY (timer, fq_gate_run_t, timer));
+      break;
+    case FQ_MESH_TIMER_PEER:
+      fq_peer_timer (mesh, FQ_LIST_ENTRY (timer, fq_peer_t, timer));
+      break;
+    case FQ_MESH_TIMER_SERVER:
+      fq_server_state_timer (mesh);
+      break;
+    case FQ_MESH_TIMER_NODES:
+      look_for_nodes (mesh);
+      break;
+    case FQ_MESH_TIMER_CONFIG:
+      ask_for_config (mesh);
+      break;
+    case FQ_MESH_TIMER_STOP:
+      go_on_stopping (mesh);
+      break;
+    }
+}
+
+static void
+see (fq_mesh_t *mesh, const fq_mesh_event_t *event)
+{
+  fq_peer_t *peer;
+
+  switch (event->kind)
+    {
+    case FQ_MESH_EVENT_TIMER:
+      break;
+    case FQ_MESH_EVENT_REQUEST:
+      fq_entry_receive (mesh, &event->request);
+      break;
+    case FQ_MESH_EVENT_CLIENT_GONE:
+      fq_entry_client_gone (mesh, event->request_id);
+      break;
+    case FQ_MESH_EVENT_LINK_UP:
+    case FQ_MESH_EVENT_LINK_DOWN:
+      peer = fq_map_get (&mesh->peers, event->node);
+      if (peer != NULL && event->kind == FQ_MESH_EVENT_LINK_UP)
+        fq_peer_link_up (mesh, peer);
+      else if (peer != NULL)
+        fq_peer_link_down (mesh, peer);
+      break;
+    case FQ_MESH_EVENT_ASKER_DOWN:
+      lose_asker (mesh, event->asker);
+      break;
+    case FQ_MESH_EVENT_GATE_FRAME:
+      take_gate_frame (mesh, event);
+      break;
+    case FQ_MESH_EVENT_ASKER_FRAME:
+      take_asker_frame (mesh, event);
+      break;
+    case FQ_MESH_EVENT_SERVER_ANSWER:
+      fq_gate_answer (mesh, event->server_answer.run, event->server_answer.verdict,
+                      event->server_answer.answer);
+      break;
+    case FQ_MESH_EVENT_SERVER_FAILED:
+      fq_gate_failed (mesh, event->server_failed.run, event->server_failed.failure);
+      break;
+    case FQ_MESH_EVENT_REPORT:
+      fq_server_state_report (mesh, &event->report);
+      break;
+    case FQ_MESH_EVENT_LEAVE:
+      fq_server_state_leave (mesh, &event->report);
+      break;
+    case FQ_MESH_EVENT_CONFIG:
+      take_config (mesh, event->config);
+      break;
+    case FQ_MESH_EVENT_NODES:
+      learn_nodes (mesh, event->nodes.addresses, event->nodes.count);
+      break;
+    case FQ_MESH_EVENT_STOP:
+      begin_stopping (mesh);
+      break;
+    }
+}
+
+void
+fq_mesh_reduce (fq_mesh_t *mesh, const fq_mesh_event_t *event, fq_mesh_effects_t *effects)
+{
+  fq_timer_entry_t *timer;
+
+  mesh->now = event->now;
+  mesh->effects = effects;
+  see (mesh, event);
+  deliver_loopback (mesh);
+  while ((timer = fq_timers_pop (&mesh->timers, mesh->now)) != NULL)
+    {
+      fire (mesh, timer);
+      deliver_loopback (mesh);
+    }
+  mesh->effects = NULL;
+}
+
+fq_time_t
+fq_mesh_next_timer (const fq_mesh_t *mesh)
+{
+  return fq_timers_next (&mesh->timers);
+}
+
+bool
+fq_mesh_is_ready (const fq_mesh_t *mesh)
+{
+  if (mesh->stopping || mesh->config == NULL)
+    return false;
+  return fq_peer_count_up (mesh) > 0 || mesh->now - mesh->started >= FQ_READY_ALONE_US;
+}
+
+uint64_t
+fq_mesh_config_version (const fq_mesh_t *mesh)
+{
+  return mesh->config == NULL ? 0 : mesh->config->version;
+}
+
+void
+fq_mesh_write_metrics (const fq_mesh_t *mesh, fq_buffer_t *out)
+{
+  fq_mesh_metrics_write (&mesh->metrics, out);
+  fq_buffer_printf (out, "# TYPE fq_config_version gauge\nfq_config_version %llu\n",
+                    (unsigned long long)fq_mesh_config_version (mesh));
+  fq_buffer_printf (out, "# TYPE fq_gates_up gauge\nfq_gates_up %zu\n",
+                    fq_peer_count_up (mesh));
+  fq_buffer_printf (out, "# TYPE fq_gate_in_flight gauge\nfq_gate_in_flight %u\n",
+                    mesh->gate.waiting.in_flight);
+  fq_buffer_printf (out, "# TYPE fq_gate_queued gauge\nfq_gate_queued %u\n",
+                    mesh->gate.waiting.queued);
+}
+
+static void
+init_gate (fq_gate_t *gate, const fq_mesh_bounds_t *bounds)
+{
+  gate->timer.kind = FQ_MESH_TIMER_SERVER;
+  fq_waiting_init (&gate->waiting);
+  fq_list_init (&gate->runs);
+  fq_retry_budget_init (&gate->budget, bounds->retry_window_ms);
+}
+
+int
+fq_mesh_new (fq_mesh_t **out, const fq_mesh_options_t *options, fq_time_t now)
+{
+  fq_mesh_t *mesh;
+
+  if (options->version != FQ_MESH_OPTIONS_VERSION || options->address == 0
+      || options->bounds.retry_window_ms == 0)
+    return fq_error_set (FQ_ERROR_CLASS_CORE, FQ_ERROR_INVALID,
+                         "a node needs an address and a retry window");
+  mesh = calloc (1, sizeof *mesh);
+  if (mesh == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_CORE, FQ_ERROR_NOMEM, "no memory for a node");
+  mesh->address = options->address;
+  mesh->bounds = options->bounds;
+  mesh->random.state = options->seed;
+  mesh->now = now;
+  mesh->started = now;
+  mesh->next_id = FQ_ASKER_SELF;
+  fq_text_copy (mesh->zone, sizeof mesh->zone, options->zone);
+  fq_text_copy (mesh->service, sizeof mesh->service, options->service);
+  fq_list_init (&mesh->loopback);
+  init_gate (&mesh->gate, &mesh->bounds);
+  mesh->config_timer.kind = FQ_MESH_TIMER_CONFIG;
+  mesh->nodes_timer.kind = FQ_MESH_TIMER_NODES;
+  mesh->stop_timer.kind = FQ_MESH_TIMER_STOP;
+  mesh->self = fq_peer_get (mesh, mesh->address);
+  mesh->self->link = FQ_LINK_UP;
+  mesh->self->welcomed = true;
+  memcpy (mesh->self->zone, mesh->zone, sizeof mesh->zone);
+  fq_timers_arm (&mesh->timers, &mesh->nodes_timer, now);
+  *out = mesh;
+  return FQ_OK;
+}
+
+static void
+free_askers (fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  fq_asker_t *asker;
+
+  while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
+    free (asker);
+  fq_map_clear (&mesh->askers);
+}
+
+void
+fq_mesh_free (fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  void *time;
+
+  if (mesh == NULL)
+    return;
+  fq_entry_free_all (mesh);
+  fq_gate_free_all (mesh);
+  fq_peer_free_all (mesh);
+  free_askers (mesh);
+  while ((time = fq_map_next (&mesh->route_times, &cursor)) != NULL)
+    free (time);
+  fq_map_clear (&mesh->route_times);
+  fq_blame_free_all (&mesh->blame);
+  fq_timers_clear (&mesh->timers);
+  fq_config_unref (mesh->config);
+  free (mesh);
+}
--- /dev/null
+++ b/src/mesh/server_state.c
@@ -0,0 +1,197 @@
+/**
+ * DOC: What the server beside the node says of itself, and what follows for its gate.
+ *
+ * A server that said that it leaves is never ready again under the same start, whatever
+ * late reports say.
+ */
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+#define FQ_LIMIT_SHARE 0.95 /* of its slots: some servers slow down when nearly full */
+#define FQ_DRAIN_MARGIN_US (400 * FQ_MICROSECONDS_PER_MS) /* to reach the server */
+#define FQ_REPORTS_MISSED 3 /* after which a server that answers nothing is gone */
+
+void
+fq_server_state_tell (fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  const fq_asker_t *asker;
+  fq_server_t server = mesh->gate.server;
+
+  if (mesh->stopping)
+    server.phase = FQ_PHASE_ABSENT;
+  mesh->self->server = server;
+  while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
+    {
+      fq_frame_t frame = { .kind = FQ_FRAME_SERVER, .server = server };
+
+      fq_mesh_to_asker (mesh, asker->id, &frame);
+    }
+}
+
+static void
+enter_phase (fq_mesh_t *mesh, fq_phase_t phase, const char *reason)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  fq_mesh_log (mesh, phase == FQ_PHASE_ABSENT,
+               "event=server-phase service=%s instance=%s from=%s to=%s reason=%s "
+               "sequence=%llu in_flight=%u queued=%u",
+               gate->server.service, gate->server.instance,
+               fq_phase_name (gate->server.phase), fq_phase_name (phase), reason,
+               (unsigned long long)gate->server_sequence, gate->waiting.in_flight,
+               gate->waiting.queued);
+  gate->server.phase = phase;
+  if (phase == FQ_PHASE_ABSENT)
+    fq_gate_refuse_waiting (mesh, FQ_REFUSAL_NO_SERVER);
+  fq_server_state_tell (mesh);
+}
+
+static void
+arm_report_timer (fq_mesh_t *mesh)
+{
+  fq_time_t interval
+      = (fq_time_t)mesh->bounds.report_interval_ms * FQ_MICROSECONDS_PER_MS;
+
+  fq_timers_arm (&mesh->timers, &mesh->gate.timer,
+                 mesh->now + interval * FQ_REPORTS_MISSED);
+}
+
+static bool
+is_same_start (const fq_gate_t *gate, const fq_server_report_t *report)
+{
+  return strcmp (gate->server.instance, report->instance) == 0
+         && gate->server_started_ms == report->started_ms;
+}
+
+static bool
+is_stale (const fq_gate_t *gate, const fq_server_report_t *report)
+{
+  if (gate->server.instance[0] == '\0')
+    return false;
+  if (is_same_start (gate, report))
+    return report->sequence <= gate->server_sequence;
+  return report->started_ms < gate->server_started_ms;
+}
+
+static void
+take_start (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  fq_mesh_log (mesh, false,
+               "event=server-start service=%s instance=%s started_ms=%llu slots=%u "
+               "warmup_ms=%u previous=%s",
+               report->service, report->instance, (unsigned long long)report->started_ms,
+               report->slots, report->warmup_ms, gate->server.instance);
+  if (gate->server.instance[0] != '\0')
+    {
+      fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_FORGET);
+      fq_gate_refuse_waiting (mesh, FQ_REFUSAL_NO_SERVER);
+    }
+  memcpy (gate->server.service, report->service, sizeof gate->server.service);
+  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
+  memcpy (mesh->service, report->service, sizeof mesh->service);
+  gate->server.phase = FQ_PHASE_ABSENT;
+  gate->server_started_ms = report->started_ms;
+  gate->drain_until = 0;
+}
+
+static void
+begin_drain (fq_mesh_t *mesh, const char *reason)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (gate->drain_until != 0)
+    return;
+  gate->drain_until = mesh->now
+                      + (fq_time_t)mesh->bounds.drain_ms * FQ_MICROSECONDS_PER_MS
+                      - FQ_DRAIN_MARGIN_US;
+  fq_timers_arm (&mesh->timers, &gate->timer, gate->drain_until);
+  if (gate->server.phase == FQ_PHASE_READY)
+    enter_phase (mesh, FQ_PHASE_DRAINING, reason);
+}
+
+static void
+set_limit (fq_gate_t *gate, uint32_t slots)
+{
+  uint32_t limit = (uint32_t)(slots * FQ_LIMIT_SHARE);
+
+  gate->slots = slots;
+  gate->waiting.limit = limit > 0 ? limit : 1;
+}
+
+void
+fq_server_state_report (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (is_stale (gate, report))
+    {
+      mesh->metrics.counters[FQ_METRIC_STALE_REPORTS]++;
+      fq_mesh_log (mesh, false, "event=report-stale instance=%s sequence=%llu known=%llu",
+                   report->instance, (unsigned long long)report->sequence,
+                   (unsigned long long)gate->server_sequence);
+      return;
+    }
+  if (!is_same_start (gate, report))
+    take_start (mesh, report);
+  gate->server_sequence = report->sequence;
+  gate->reported_at = mesh->now;
+  if (gate->drain_until != 0)
+    return;
+  set_limit (gate, report->slots);
+  if (report->draining)
+    {
+      begin_drain (mesh, "reported");
+      return;
+    }
+  arm_report_timer (mesh);
+  if (gate->server.phase != FQ_PHASE_READY)
+    enter_phase (mesh, FQ_PHASE_READY, "reported");
+  fq_gate_progress (mesh);
+}
+
+void
+fq_server_state_leave (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (strcmp (gate->server.instance, report->instance) != 0
+      || (report->started_ms != 0 && report->started_ms != gate->server_started_ms))
+    {
+      fq_mesh_log (mesh, false, "event=leave-ignored instance=%s known=%s",
+                   report->instance, gate->server.instance);
+      return;
+    }
+  begin_drain (mesh, "left");
+}
+
+void
+fq_server_state_lost (fq_mesh_t *mesh, const char *reason)
+{
+  if (mesh->gate.server.phase == FQ_PHASE_ABSENT)
+    return;
+  enter_phase (mesh, FQ_PHASE_ABSENT, reason);
+}
+
+void
+fq_server_state_timer (fq_mesh_t *mesh)
+{
+  fq_gate_t *gate = &mesh->gate;
+  fq_time_t interval
+      = (fq_time_t)mesh->bounds.report_interval_ms * FQ_MICROSECONDS_PER_MS;
+
+  if (gate->drain_until != 0)
+    {
+      fq_server_state_lost (mesh, "drained");
+      return;
+    }
+  if (mesh->now - gate->answered_at < interval)
+    {
+      arm_report_timer (mesh);
+      return;
+    }
+  fq_server_state_lost (mesh, "silent");
+}
--- /dev/null
+++ b/src/node/event_log.c
@@ -0,0 +1,223 @@
+#include "node/event_log.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <log4c.h>
+
+#include "filbertquay/errors.h"
+#include "io/buffer.h"
+
+#define FQ_LOG_NAME "filbertquay-node" /* of our layout, appender and category */
+#define FQ_LOG_TEXT_BYTES 512
+#define FQ_LOG_LINE_BYTES 600
+#define FQ_LOG_TIME_BYTES 32
+#define FQ_LOG_WAITING_BYTES (128 * 1024) /* that standard output did not take yet */
+#define FQ_LOG_LINES_PER_SECOND 2000
+#define FQ_LOG_WARNING_SHARE 2 /* warnings may use this many times as much */
+#define FQ_LOG_RETRY_SECONDS 0.2
+
+static struct
+{
+  struct ev_loop *loop;
+  ev_prepare flush;
+  ev_timer retry;
+  log4c_category_t *category;
+  fq_buffer_t waiting;
+  double second; /* to which @lines belongs */
+  uint32_t lines;
+  uint64_t dropped;
+  uint64_t dropped_told;
+} event_log;
+
+static const char *
+format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  static char line[FQ_LOG_LINE_BYTES];
+  char when[FQ_LOG_TIME_BYTES];
+  struct tm utc;
+
+  (void)layout;
+  gmtime_r (&event->evt_timestamp.tv_sec, &utc);
+  strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%S", &utc);
+  snprintf (
+      line, sizeof line, "%s.%03ldZ %s %s\n", when, event->evt_timestamp.tv_usec / 1000,
+      event->evt_priority == LOG4C_PRIORITY_WARN ? "warning" : "info", event->evt_msg);
+  return line;
+}
+
+static const log4c_layout_type_t layout_type = {
+  .name = FQ_LOG_NAME,
+  .format = format_line,
+};
+
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  fq_buffer_add_text (&event_log.waiting, event->evt_rendered_msg);
+  return 0;
+}
+
+static const log4c_appender_type_t appender_type = {
+  .name = FQ_LOG_NAME,
+  .append = append_line,
+};
+
+static void
+write_waiting (void)
+{
+  while (fq_buffer_size (&event_log.waiting) > 0)
+    {
+      ssize_t written = write (STDOUT_FILENO, fq_buffer_bytes (&event_log.waiting),
+                               fq_buffer_size (&event_log.waiting));
+
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written <= 0)
+        {
+          ev_timer_again (event_log.loop, &event_log.retry);
+          return;
+        }
+      fq_buffer_consume (&event_log.waiting, (size_t)written);
+    }
+  ev_timer_stop (event_log.loop, &event_log.retry);
+}
+
+static void
+tell_dropped (void)
+{
+  char text[FQ_LOG_TEXT_BYTES];
+
+  if (event_log.dropped == event_log.dropped_told)
+    return;
+  snprintf (text, sizeof text, "event=log-dropped lines=%llu",
+            (unsigned long long)(event_log.dropped - event_log.dropped_told));
+  event_log.dropped_told = event_log.dropped;
+  log4c_category_log (event_log.category, LOG4C_PRIORITY_WARN, "%s", text);
+}
+
+static void
+on_flush (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  (void)loop;
+  (void)prepare;
+  (void)events;
+  if (!ev_is_active (&event_log.retry))
+    write_waiting ();
+}
+
+static void
+on_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)timer;
+  (void)events;
+  write_waiting ();
+}
+
+int
+fq_event_log_open (struct ev_loop *loop, bool warnings_only)
+{
+  log4c_appender_t *appender;
+  log4c_layout_t *layout;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  /* Not log4c_init(): it reads whatever configuration file it finds. */
+  event_log.category = log4c_category_get (FQ_LOG_NAME);
+  appender = log4c_appender_get (FQ_LOG_NAME);
+  layout = log4c_layout_get (FQ_LOG_NAME);
+  if (event_log.category == NULL || appender == NULL || layout == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "can't start the log");
+  log4c_layout_set_type (layout, &layout_type);
+  log4c_appender_set_type (appender, &appender_type);
+  log4c_appender_set_layout (appender, layout);
+  log4c_category_set_appender (event_log.category, appender);
+  log4c_category_set_additivity (event_log.category, 0);
+  log4c_category_set_priority (event_log.category,
+                               warnings_only ? LOG4C_PRIORITY_WARN : LOG4C_PRIORITY_INFO);
+  /* Where it can't be made non-blocking, as a file, writing does not block either. */
+  if (flags >= 0)
+    (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  event_log.loop = loop;
+  ev_prepare_init (&event_log.flush, on_flush);
+  ev_prepare_start (loop, &event_log.flush);
+  ev_timer_init (&event_log.retry, on_retry, 0., FQ_LOG_RETRY_SECONDS);
+  return FQ_OK;
+}
+
+static bool
+has_room (bool warning)
+{
+  unsigned int share = warning ? FQ_LOG_WARNING_SHARE : 1;
+  double second = (double)(int64_t)ev_now (event_log.loop);
+
+  if (second != event_log.second)
+    {
+      event_log.second = second;
+      event_log.lines = 0;
+      tell_dropped ();
+    }
+  if (event_log.lines >= FQ_LOG_LINES_PER_SECOND * share
+      || fq_buffer_size (&event_log.waiting) >= FQ_LOG_WAITING_BYTES * share)
+    return false;
+  event_log.lines++;
+  return true;
+}
+
+void
+fq_event_log_write (bool warning, const char *text)
+{
+  char clean[FQ_LOG_TEXT_BYTES];
+  size_t length = 0;
+
+  if (event_log.category == NULL)
+    return;
+  if (!has_room (warning))
+    {
+      event_log.dropped++;
+      return;
+    }
+  for (; text[length] != '\0' && length < sizeof clean - 1; length++)
+    clean[length] = iscntrl ((unsigned char)text[length]) ? '?' : text[length];
+  clean[length] = '\0';
+  log4c_category_log (event_log.category,
+                      warning ? LOG4C_PRIORITY_WARN : LOG4C_PRIORITY_INFO, "%s", clean);
+}
+
+void
+fq_event_log_printf (bool warning, const char *format, ...)
+{
+  char text[FQ_LOG_TEXT_BYTES];
+  va_list arguments;
+
+  va_start (arguments, format);
+  vsnprintf (text, sizeof text, format, arguments);
+  va_end (arguments);
+  fq_event_log_write (warning, text);
+}
+
+uint64_t
+fq_event_log_dropped (void)
+{
+  return event_log.dropped;
+}
+
+void
+fq_event_log_close (void)
+{
+  if (event_log.category == NULL)
+    return;
+  write_waiting ();
+  ev_prepare_stop (event_log.loop, &event_log.flush);
+  ev_timer_stop (event_log.loop, &event_log.retry);
+  fq_buffer_clear (&event_log.waiting);
+  event_log.category = NULL;
+  log4c_fini ();
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,689 @@
+#include "node/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+
+#include "config_document.h"
+#include "exchange.h"
+#include "filbertquay/errors.h"
+#include "http/server.h"
+#include "node/event_log.h"
+#include "node/links.h"
+#include "node/server_calls.h"
+#include "node/store_watch.h"
+#include "server_report.h"
+#include "util/text.h"
+#include "util/timers.h"
+
+#define FQ_STATUS_OK 200
+#define FQ_STATUS_BAD_REQUEST 400
+#define FQ_STATUS_NOT_FOUND 404
+#define FQ_STATUS_UNAVAILABLE 503
+#define FQ_BODIES_SHARE 2 /* of the memory, a half is for bodies */
+#define FQ_BYTES_PER_MB (1024u * 1024u)
+#define FQ_RESERVED_DESCRIPTORS 600 /* for links, servers and files */
+#define FQ_PATH_MAX_BYTES 1024
+
+/* An event that came up while effects were carried out. */
+typedef struct
+{
+  fq_list_t link;
+  fq_mesh_event_t event;
+} pending_t;
+
+struct fq_node
+{
+  fq_io_t io;
+  fq_node_settings_t settings;
+  char path[FQ_PATH_MAX_BYTES];
+  struct timespec changed; /* when the settings file was last changed */
+  fq_mesh_t *mesh;
+  fq_mesh_effects_t effects;
+  fq_list_t pending;
+  bool busy;
+  ev_timer timer;
+  fq_time_t timer_at;
+  fq_http_server_t *requests;
+  fq_http_server_t *readiness;
+  fq_http_server_t *reports;
+  fq_http_server_t *metrics;
+  fq_links_t *links;
+  fq_server_calls_t *server;
+  fq_store_watch_t *store;
+  fq_node_address_t address;
+};
+
+static fq_time_t
+monotonic_now (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (fq_time_t)now.tv_sec * FQ_MICROSECONDS_PER_SECOND + now.tv_nsec / 1000;
+}
+
+static void
+set_limits (fq_node_t *node, const fq_request_limits_t *limits)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+
+  options.limits.head_bytes = limits->head_bytes;
+  options.limits.body_bytes = limits->body_bytes;
+  options.head_timeout_ms = limits->head_timeout_ms;
+  options.idle_timeout_ms = limits->idle_timeout_ms;
+  options.connections_max = node->settings.descriptors > 2 * FQ_RESERVED_DESCRIPTORS
+                                ? node->settings.descriptors - FQ_RESERVED_DESCRIPTORS
+                                : node->settings.descriptors / 2;
+  fq_http_server_set_options (node->requests, &options);
+}
+
+static void
+reply (fq_node_t *node, const fq_mesh_effect_t *effect)
+{
+  fq_http_message_t *own;
+
+  if (effect->reply.answer != NULL)
+    {
+      fq_http_server_reply (node->requests, effect->reply.request, effect->reply.answer);
+      return;
+    }
+  own = fq_platform_own_answer (effect->reply.status, effect->reply.retry_after_ms,
+                                effect->reply.text);
+  fq_http_server_reply (node->requests, effect->reply.request, own);
+  fq_http_message_unref (own);
+}
+
+static void
+retire (fq_node_t *node)
+{
+  fq_http_server_retire (node->requests);
+}
+
+static void
+carry_out (fq_node_t *node, const fq_mesh_effect_t *effect)
+{
+  switch (effect->kind)
+    {
+    case FQ_MESH_EFFECT_REPLY:
+      reply (node, effect);
+      break;
+    case FQ_MESH_EFFECT_LINK_OPEN:
+      fq_links_connect (node->links, effect->node);
+      break;
+    case FQ_MESH_EFFECT_LINK_CLOSE:
+      fq_links_disconnect (node->links, effect->node);
+      break;
+    case FQ_MESH_EFFECT_TO_GATE:
+      fq_links_to_gate (node->links, effect->frame.node, effect->frame.frame);
+      break;
+    case FQ_MESH_EFFECT_TO_ASKER:
+      fq_links_to_asker (node->links, effect->frame.asker, effect->frame.frame);
+      break;
+    case FQ_MESH_EFFECT_SERVER_CALL:
+      fq_server_calls_start (node->server, effect);
+      break;
+    case FQ_MESH_EFFECT_SERVER_ABORT:
+      fq_server_calls_abort (node->server, effect->run);
+      break;
+    case FQ_MESH_EFFECT_SERVER_FORGET:
+      fq_server_calls_forget (node->server);
+      break;
+    case FQ_MESH_EFFECT_LIMITS:
+      set_limits (node, &effect->limits);
+      break;
+    case FQ_MESH_EFFECT_FIND_NODES:
+      fq_store_watch_find_nodes (node->store);
+      break;
+    case FQ_MESH_EFFECT_LOG:
+      fq_event_log_write (effect->log.warning, effect->log.text);
+      break;
+    case FQ_MESH_EFFECT_RETIRE:
+      retire (node);
+      break;
+    case FQ_MESH_EFFECT_STOPPED:
+      ev_break (node->io.loop, EVBREAK_ALL);
+      break;
+    }
+}
+
+static void
+arm_timer (fq_node_t *node)
+{
+  fq_time_t next = fq_mesh_next_timer (node->mesh);
+  fq_time_t now = monotonic_now ();
+
+  if (next == FQ_TIMERS_NEVER)
+    return;
+  if (ev_is_active (&node->timer) && node->timer_at <= next && node->timer_at > now)
+    return;
+  ev_timer_stop (node->io.loop, &node->timer);
+  ev_timer_set (&node->timer,
+                next > now ? (double)(next - now) / FQ_MICROSECONDS_PER_SECOND : 0., 0.);
+  ev_timer_start (node->io.loop, &node->timer);
+  node->timer_at = next;
+}
+
+static void
+reduce (fq_node_t *node, fq_mesh_event_t *event)
+{
+  fq_mesh_effects_t effects = node->effects;
+
+  node->effects = (fq_mesh_effects_t){ 0 };
+  event->now = monotonic_now ();
+  fq_mesh_reduce (node->mesh, event, &effects);
+  for (size_t i = 0; i < effects.count; i++)
+    carry_out (node, &effects.items[i]);
+  fq_mesh_effects_clear (&effects);
+  node->effects = effects;
+}
+
+static void
+keep_for_later (fq_node_t *node, const fq_mesh_event_t *event)
+{
+  pending_t *pending = calloc (1, sizeof *pending);
+
+  if (pending == NULL)
+    abort ();
+  pending->event = *event;
+  if (event->kind == FQ_MESH_EVENT_REQUEST)
+    fq_http_message_ref (event->request.message);
+  fq_list_append (&node->pending, &pending->link);
+}
+
+/* The reducer is never entered twice: what comes up meanwhile waits. Only events without
+ * borrowed pointers, and requests, come up while effects are carried out. */
+static void
+feed (fq_node_t *node, fq_mesh_event_t *event)
+{
+  fq_list_t *link;
+
+  if (node->busy)
+    {
+      keep_for_later (node, event);
+      return;
+    }
+  node->busy = true;
+  reduce (node, event);
+  while ((link = fq_list_first (&node->pending)) != NULL)
+    {
+      pending_t *pending = FQ_LIST_ENTRY (link, pending_t, link);
+
+      fq_list_remove (link);
+      reduce (node, &pending->event);
+      if (pending->event.kind == FQ_MESH_EVENT_REQUEST)
+        fq_http_message_unref (pending->event.request.message);
+      free (pending);
+    }
+  node->busy = false;
+  arm_timer (node);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_TIMER };
+
+  (void)loop;
+  (void)events;
+  feed (timer->data, &event);
+}
+
+static void
+on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
+
+  event.request.id = id;
+  event.request.message = message;
+  event.request.from_server = from == node->address;
+  fq_platform_read_request (message, &event.request);
+  feed (node, &event);
+}
+
+static void
+on_client_gone (void *context, fq_id_t id)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CLIENT_GONE, .request_id = id };
+
+  feed (context, &event);
+}
+
+static void
+on_malformed (void *context, uint16_t status, const char *reason)
+{
+  (void)context;
+  fq_event_log_printf (true, "event=request-malformed status=%u reason=\"%s\"", status,
+                       reason);
+}
+
+static const fq_http_server_handlers_t request_handlers = {
+  .request = on_request,
+  .gone = on_client_gone,
+  .malformed = on_malformed,
+};
+
+static void
+answer (fq_http_server_t *server, fq_id_t id, uint16_t status, const char *text)
+{
+  fq_http_message_t *message = fq_platform_own_answer (status, 0, text);
+
+  fq_http_server_reply (server, id, message);
+  fq_http_message_unref (message);
+}
+
+static void
+on_readiness (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+
+  (void)from;
+  if (!fq_platform_is_readiness (message))
+    answer (node->readiness, id, FQ_STATUS_NOT_FOUND, NULL);
+  else if (fq_mesh_is_ready (node->mesh))
+    answer (node->readiness, id, FQ_STATUS_OK, NULL);
+  else
+    answer (node->readiness, id, FQ_STATUS_UNAVAILABLE, NULL);
+}
+
+static const fq_http_server_handlers_t readiness_handlers = { .request = on_readiness };
+
+static void
+on_metrics (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_buffer_t text = { 0 };
+
+  (void)message;
+  (void)from;
+  fq_mesh_write_metrics (node->mesh, &text);
+  fq_buffer_printf (&text,
+                    "# TYPE fq_log_dropped_total counter\n"
+                    "fq_log_dropped_total %llu\n",
+                    (unsigned long long)fq_event_log_dropped ());
+  fq_buffer_add (&text, "", 1);
+  answer (node->metrics, id, FQ_STATUS_OK, (const char *)fq_buffer_bytes (&text));
+  fq_buffer_clear (&text);
+}
+
+static const fq_http_server_handlers_t metrics_handlers = { .request = on_metrics };
+
+static bool
+file_changed (fq_node_t *node)
+{
+  struct stat status;
+
+  if (stat (node->path, &status) < 0)
+    return false;
+  if (status.st_mtim.tv_sec == node->changed.tv_sec
+      && status.st_mtim.tv_nsec == node->changed.tv_nsec)
+    return false;
+  node->changed = status.st_mtim;
+  return true;
+}
+
+static void
+on_report (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_mesh_event_t event = { 0 };
+  fq_platform_saying_t saying;
+  char address[FQ_ADDRESS_BYTES];
+  int error = fq_platform_read_report (&saying, &event.report, address, message);
+
+  (void)from;
+  if (file_changed (node))
+    fq_node_reload (node);
+  if (error == FQ_OK && saying == FQ_PLATFORM_REPORT
+      && strcmp (address, node->settings.server_address) != 0)
+    error = fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_INVALID,
+                          "report: '%s' is not our server's address", address);
+  if (error < 0)
+    {
+      fq_event_log_printf (true, "event=report-refused fault=\"%s\"",
+                           fq_error_last ()->message);
+      answer (node->reports, id,
+              error == FQ_ERROR_NOTFOUND ? FQ_STATUS_NOT_FOUND : FQ_STATUS_BAD_REQUEST,
+              NULL);
+      return;
+    }
+  event.kind = saying == FQ_PLATFORM_REPORT ? FQ_MESH_EVENT_REPORT : FQ_MESH_EVENT_LEAVE;
+  feed (node, &event);
+  answer (node->reports, id, FQ_STATUS_OK, "{}");
+}
+
+static const fq_http_server_handlers_t report_handlers = { .request = on_report };
+
+static void
+on_link_up (void *context, fq_node_address_t address)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_LINK_UP, .node = address };
+
+  feed (context, &event);
+}
+
+static void
+on_link_down (void *context, fq_node_address_t address)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_LINK_DOWN, .node = address };
+
+  feed (context, &event);
+}
+
+static void
+on_asker_down (void *context, fq_id_t asker)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ASKER_DOWN, .asker = asker };
+
+  feed (context, &event);
+}
+
+static void
+feed_config (fq_node_t *node, fq_config_t *config)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CONFIG, .config = config };
+
+  feed (node, &event);
+}
+
+static void
+take_config_frame (fq_node_t *node, const fq_frame_t *frame)
+{
+  fq_config_t *config;
+
+  if (fq_platform_read_config (&config, frame->document, frame->document_size) < 0)
+    {
+      fq_event_log_printf (true, "event=config-refused version=%llu fault=\"%s\"",
+                           (unsigned long long)frame->number, fq_error_last ()->message);
+      return;
+    }
+  feed_config (node, config);
+  fq_config_unref (config);
+}
+
+static void
+on_gate_frame (void *context, fq_node_address_t address, const fq_frame_t *frame)
+{
+  fq_node_t *node = context;
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_GATE_FRAME };
+
+  event.frame.node = address;
+  event.frame.frame = frame;
+  feed (node, &event);
+  if (frame->kind == FQ_FRAME_CONFIG)
+    take_config_frame (node, frame);
+}
+
+static void
+on_asker_frame (void *context,
+                fq_id_t asker,
+                fq_node_address_t address,
+                const fq_frame_t *frame)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ASKER_FRAME };
+
+  event.frame.asker = asker;
+  event.frame.asker_address = address;
+  event.frame.frame = frame;
+  feed (context, &event);
+}
+
+static const fq_links_handlers_t link_handlers = {
+  .up = on_link_up,
+  .down = on_link_down,
+  .asker_down = on_asker_down,
+  .from_gate = on_gate_frame,
+  .from_asker = on_asker_frame,
+};
+
+static void
+on_server_answered (void *context,
+                    fq_id_t run,
+                    fq_server_verdict_t verdict,
+                    fq_http_message_t *message)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_SERVER_ANSWER };
+
+  event.server_answer.run = run;
+  event.server_answer.verdict = verdict;
+  event.server_answer.answer = message;
+  feed (context, &event);
+}
+
+static void
+on_server_failed (void *context, fq_id_t run, fq_server_failure_t failure)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_SERVER_FAILED };
+
+  event.server_failed.run = run;
+  event.server_failed.failure = failure;
+  feed (context, &event);
+}
+
+static const fq_server_calls_handlers_t server_handlers = {
+  .answered = on_server_answered,
+  .failed = on_server_failed,
+};
+
+static void
+on_config (void *context, fq_config_t *config)
+{
+  feed_config (context, config);
+}
+
+static void
+on_nodes (void *context, const fq_node_address_t *addresses, size_t count)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_NODES };
+
+  event.nodes.addresses = addresses;
+  event.nodes.count = count;
+  feed (context, &event);
+}
+
+static const fq_store_watch_handlers_t store_handlers = {
+  .config = on_config,
+  .nodes = on_nodes,
+};
+
+static void
+feed_seeds (fq_node_t *node)
+{
+  fq_node_address_t addresses[FQ_NODE_SEEDS_MAX];
+  size_t count = 0;
+  struct sockaddr_in address;
+
+  for (size_t i = 0; i < node->settings.seed_count; i++)
+    {
+      if (fq_address_parse (&address, node->settings.seeds[i]) == FQ_OK)
+        addresses[count++] = ntohl (address.sin_addr.s_addr);
+    }
+  on_nodes (node, addresses, count);
+}
+
+static int
+open_server (fq_node_t *node,
+             fq_http_server_t **out,
+             const char *address_text,
+             const fq_http_server_handlers_t *handlers)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  struct sockaddr_in address;
+  int error = fq_address_parse (&address, address_text);
+
+  if (error < 0)
+    return error;
+  return fq_http_server_open (out, &node->io, &address, &options, handlers, node);
+}
+
+static int
+open_metrics (fq_node_t *node)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  if (node->settings.metrics_port == 0)
+    return FQ_OK;
+  address.sin_addr.s_addr = htonl (node->address);
+  address.sin_port = htons ((uint16_t)node->settings.metrics_port);
+  return fq_http_server_open (&node->metrics, &node->io, &address, &options,
+                              &metrics_handlers, node);
+}
+
+static int
+open_links (fq_node_t *node)
+{
+  struct sockaddr_in address;
+  int error = fq_address_parse (&address, node->settings.nodes_address);
+
+  if (error < 0)
+    return error;
+  return fq_links_open (&node->links, &node->io, &address, &link_handlers, node);
+}
+
+static int
+open_mesh (fq_node_t *node)
+{
+  fq_mesh_options_t options = FQ_MESH_OPTIONS_INIT;
+  fq_time_t now = monotonic_now ();
+
+  options.address = node->address;
+  options.zone = node->settings.zone;
+  options.service = node->settings.service;
+  options.seed = ((uint64_t)node->address << 32) ^ (uint64_t)now;
+  options.bounds = (fq_mesh_bounds_t){
+    .report_interval_ms = node->settings.report_interval_ms,
+    .drain_ms = node->settings.drain_ms,
+    .grace_ms = node->settings.grace_ms,
+    .retry_ratio = node->settings.retry_ratio,
+    .retry_window_ms = node->settings.retry_window_ms,
+    .retry_slack = node->settings.retry_slack,
+  };
+  return fq_mesh_new (&node->mesh, &options, now);
+}
+
+static int
+parse_ip (fq_node_address_t *out, const char *ip)
+{
+  char text[FQ_ADDRESS_BYTES + 3];
+  struct sockaddr_in address;
+  int error;
+
+  fq_text_copy (text, FQ_ADDRESS_BYTES, ip);
+  strcat (text, ":1");
+  error = fq_address_parse (&address, text);
+  *out = ntohl (address.sin_addr.s_addr);
+  return error;
+}
+
+static int
+open_all (fq_node_t *node)
+{
+  const fq_node_settings_t *settings = &node->settings;
+  int error;
+
+  if ((error = parse_ip (&node->address, settings->ip)) < 0
+      || (error = open_mesh (node)) < 0 || (error = open_links (node)) < 0
+      || (error = open_server (node, &node->requests, settings->requests_address,
+                               &request_handlers))
+             < 0
+      || (error = open_server (node, &node->readiness, settings->readiness_address,
+                               &readiness_handlers))
+             < 0
+      || (error = open_server (node, &node->reports, settings->reports_address,
+                               &report_handlers))
+             < 0
+      || (error = open_metrics (node)) < 0)
+    return error;
+  error = fq_server_calls_open (&node->server, &node->io, settings->server_address,
+                                &server_handlers, node);
+  if (error < 0)
+    return error;
+  return fq_store_watch_open (&node->store, &node->io, settings->store_address,
+                              node->address, &store_handlers, node);
+}
+
+int
+fq_node_open (fq_node_t **out,
+              struct ev_loop *loop,
+              const fq_node_settings_t *settings,
+              const char *path)
+{
+  fq_node_t *node = calloc (1, sizeof *node);
+  int error;
+
+  if (node == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "no memory for a node");
+  error = fq_io_open (&node->io, loop);
+  if (error < 0)
+    {
+      free (node);
+      return error;
+    }
+  node->settings = *settings;
+  fq_list_init (&node->pending);
+  ev_timer_init (&node->timer, on_timer, 0., 0.);
+  node->timer.data = node;
+  fq_text_copy (node->path, sizeof node->path, path);
+  file_changed (node);
+  fq_blob_set_limit ((size_t)settings->memory_mb * FQ_BYTES_PER_MB / FQ_BODIES_SHARE);
+  error = open_all (node);
+  if (error < 0)
+    {
+      fq_node_close (node);
+      return error;
+    }
+  fq_event_log_printf (false, "event=start node=%s zone=%s service=%s server=%s store=%s",
+                       settings->node, settings->zone, settings->service,
+                       settings->server_address, settings->store_address);
+  feed_seeds (node);
+  *out = node;
+  return FQ_OK;
+}
+
+void
+fq_node_stop (fq_node_t *node)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_STOP };
+
+  feed (node, &event);
+}
+
+/* What concerns listeners stays as it was at the start. */
+void
+fq_node_reload (fq_node_t *node)
+{
+  fq_node_settings_t settings;
+
+  if (fq_node_settings_load (&settings, node->path) < 0)
+    {
+      fq_event_log_printf (true, "event=reload-refused fault=\"%s\"",
+                           fq_error_last ()->message);
+      return;
+    }
+  memcpy (node->settings.seeds, settings.seeds, sizeof settings.seeds);
+  node->settings.seed_count = settings.seed_count;
+  fq_event_log_printf (false, "event=reload seeds=%zu", settings.seed_count);
+  feed_seeds (node);
+}
+
+void
+fq_node_close (fq_node_t *node)
+{
+  if (node == NULL)
+    return;
+  ev_timer_stop (node->io.loop, &node->timer);
+  fq_store_watch_close (node->store);
+  fq_server_calls_close (node->server);
+  fq_links_close (node->links);
+  fq_http_server_close (node->requests);
+  fq_http_server_close (node->readiness);
+  fq_http_server_close (node->reports);
+  fq_http_server_close (node->metrics);
+  fq_mesh_free (node->mesh);
+  fq_mesh_effects_free (&node->effects);
+  fq_io_close (&node->io);
+  free (node);
+}
--- /dev/null
+++ b/src/node/server_calls.c
@@ -0,0 +1,168 @@
+#include "node/server_calls.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "exchange.h"
+#include "filbertquay/errors.h"
+#include "http/client.h"
+#include "util/map.h"
+
+/* A request that may not be repeated uses no connection that the server could be about
+ * to close: its loss would leave the outcome unknown. */
+#define FQ_KEPT_MS_MAX_ONCE 1000
+
+typedef struct
+{
+  fq_server_calls_t *calls;
+  fq_id_t run;
+  fq_http_call_t *call;
+  char request_id[FQ_REQUEST_ID_BYTES];
+} server_call_t;
+
+struct fq_server_calls
+{
+  fq_http_client_t *client;
+  const fq_server_calls_handlers_t *handlers;
+  void *context;
+  fq_map_t by_run;
+};
+
+static void
+free_call (server_call_t *call)
+{
+  fq_map_remove (&call->calls->by_run, call->run);
+  free (call);
+}
+
+static bool
+belongs (void *context, const fq_http_message_t *answer)
+{
+  const server_call_t *call = context;
+
+  return fq_platform_belongs (answer, call->request_id);
+}
+
+static void
+on_answered (void *context, fq_http_message_t *answer)
+{
+  server_call_t *call = context;
+  fq_server_calls_t *calls = call->calls;
+  fq_id_t run = call->run;
+
+  free_call (call);
+  calls->handlers->answered (calls->context, run, fq_platform_judge (answer), answer);
+}
+
+static void
+on_failed (void *context, fq_http_failure_t failure)
+{
+  server_call_t *call = context;
+  fq_server_calls_t *calls = call->calls;
+  fq_id_t run = call->run;
+  fq_server_failure_t reason = FQ_SERVER_LOST;
+
+  switch (failure)
+    {
+    case FQ_HTTP_FAILURE_REFUSED:
+      reason = FQ_SERVER_REFUSED;
+      break;
+    case FQ_HTTP_FAILURE_LOST:
+    case FQ_HTTP_FAILURE_TIMEOUT:
+      reason = FQ_SERVER_LOST;
+      break;
+    case FQ_HTTP_FAILURE_BROKEN:
+      reason = FQ_SERVER_BROKEN;
+      break;
+    }
+  free_call (call);
+  calls->handlers->failed (calls->context, run, reason);
+}
+
+static const fq_http_call_handlers_t call_handlers = {
+  .belongs = belongs,
+  .answered = on_answered,
+  .failed = on_failed,
+};
+
+int
+fq_server_calls_open (fq_server_calls_t **out,
+                      fq_io_t *io,
+                      const char *address,
+                      const fq_server_calls_handlers_t *handlers,
+                      void *context)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_server_calls_t *calls = calloc (1, sizeof *calls);
+  struct sockaddr_in parsed;
+  int error;
+
+  if (calls == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "no memory for calls");
+  error = fq_address_parse (&parsed, address);
+  if (error == FQ_OK)
+    error = fq_http_client_new (&calls->client, io, &parsed, &options);
+  if (error < 0)
+    {
+      free (calls);
+      return error;
+    }
+  calls->handlers = handlers;
+  calls->context = context;
+  *out = calls;
+  return FQ_OK;
+}
+
+void
+fq_server_calls_start (fq_server_calls_t *calls, const fq_mesh_effect_t *effect)
+{
+  fq_http_call_options_t options
+      = { .kept_ms_max = effect->server_call.idempotent ? 0 : FQ_KEPT_MS_MAX_ONCE };
+  fq_http_message_t *request = fq_platform_request_for_server (
+      effect->server_call.message, effect->server_call.remaining_ms,
+      effect->server_call.instance, effect->server_call.caller);
+  server_call_t *call = calloc (1, sizeof *call);
+
+  if (call == NULL || fq_map_set (&calls->by_run, effect->server_call.run, call) < 0)
+    abort ();
+  call->calls = calls;
+  call->run = effect->server_call.run;
+  memcpy (call->request_id, effect->server_call.request_id, sizeof call->request_id);
+  if (fq_http_client_call (&call->call, calls->client, request, &options, &call_handlers,
+                           call)
+      < 0)
+    on_failed (call, FQ_HTTP_FAILURE_REFUSED);
+  fq_http_message_unref (request);
+}
+
+void
+fq_server_calls_abort (fq_server_calls_t *calls, fq_id_t run)
+{
+  server_call_t *call = fq_map_get (&calls->by_run, run);
+
+  if (call == NULL)
+    return;
+  fq_http_call_abort (call->call);
+  free_call (call);
+}
+
+void
+fq_server_calls_forget (fq_server_calls_t *calls)
+{
+  fq_http_client_forget_kept (calls->client);
+}
+
+void
+fq_server_calls_close (fq_server_calls_t *calls)
+{
+  size_t cursor = 0;
+  server_call_t *call;
+
+  if (calls == NULL)
+    return;
+  fq_http_client_free (calls->client);
+  while ((call = fq_map_next (&calls->by_run, &cursor)) != NULL)
+    free (call);
+  fq_map_clear (&calls->by_run);
+  free (calls);
+}
--- /dev/null
+++ b/src/node/settings.c
@@ -0,0 +1,102 @@
+#include "node/settings.h"
+
+#include <string.h>
+
+#include "settings/reader.h"
+
+#define FQ_DURATION_MS_MAX 600000
+#define FQ_MEMORY_MB_MIN 16
+#define FQ_MEMORY_MB_MAX 1048576
+#define FQ_DESCRIPTORS_MIN 64
+#define FQ_DESCRIPTORS_MAX 1048576
+#define FQ_RETRY_SLACK_MAX 1000000
+#define FQ_PORT_MAX 65535
+
+#define TEXT(field)                                                                      \
+  .offset = offsetof (fq_node_settings_t, field),                                        \
+  .size = sizeof (((fq_node_settings_t *)NULL)->field)
+
+static const char *const levels[] = { "info", "warning", NULL };
+
+static const fq_field_t listen_fields[] = {
+  { "requests", FQ_FIELD_ADDRESS, .required = true, TEXT (requests_address) },
+  { "readiness", FQ_FIELD_ADDRESS, .required = true, TEXT (readiness_address) },
+  { "reports", FQ_FIELD_ADDRESS, .required = true, TEXT (reports_address) },
+  { "nodes", FQ_FIELD_ADDRESS, .required = true, TEXT (nodes_address) },
+  { "metrics_port", FQ_FIELD_NUMBER, TEXT (metrics_port), .max = FQ_PORT_MAX },
+  { NULL },
+};
+
+static const fq_field_t server_fields[] = {
+  { "service", FQ_FIELD_NAME, .required = true, TEXT (service) },
+  { "address", FQ_FIELD_ADDRESS, .required = true, TEXT (server_address) },
+  { "report_interval", FQ_FIELD_DURATION, .required = true, TEXT (report_interval_ms),
+    .min = 1, .max = FQ_DURATION_MS_MAX },
+  { "drain", FQ_FIELD_DURATION, .required = true, TEXT (drain_ms),
+    .max = FQ_DURATION_MS_MAX },
+  { NULL },
+};
+
+static const fq_field_t retry_fields[] = {
+  { "ratio", FQ_FIELD_FRACTION, .required = true, TEXT (retry_ratio) },
+  { "window", FQ_FIELD_DURATION, .required = true, TEXT (retry_window_ms), .min = 100,
+    .max = FQ_DURATION_MS_MAX },
+  { "slack", FQ_FIELD_NUMBER, .required = true, TEXT (retry_slack),
+    .max = FQ_RETRY_SLACK_MAX },
+  { NULL },
+};
+
+static const fq_field_t limit_fields[] = {
+  { "memory_mb", FQ_FIELD_NUMBER, .required = true, TEXT (memory_mb),
+    .min = FQ_MEMORY_MB_MIN, .max = FQ_MEMORY_MB_MAX },
+  { "descriptors", FQ_FIELD_NUMBER, .required = true, TEXT (descriptors),
+    .min = FQ_DESCRIPTORS_MIN, .max = FQ_DESCRIPTORS_MAX },
+  { "grace", FQ_FIELD_DURATION, .required = true, TEXT (grace_ms), .min = 1,
+    .max = FQ_DURATION_MS_MAX },
+  { NULL },
+};
+
+static const fq_field_t log_fields[] = {
+  { "level", FQ_FIELD_CHOICE, TEXT (log_level), .choices = levels },
+  { NULL },
+};
+
+static const fq_field_t fields[] = {
+  { "node", FQ_FIELD_NAME, .required = true, TEXT (node) },
+  { "zone", FQ_FIELD_NAME, .required = true, TEXT (zone) },
+  { "ip", FQ_FIELD_IP, .required = true, TEXT (ip) },
+  { "store", FQ_FIELD_ADDRESS, .required = true, TEXT (store_address) },
+  { "listen", FQ_FIELD_OBJECT, .required = true, .fields = listen_fields },
+  { "server", FQ_FIELD_OBJECT, .required = true, .fields = server_fields },
+  { "retries", FQ_FIELD_OBJECT, .required = true, .fields = retry_fields },
+  { "limits", FQ_FIELD_OBJECT, .required = true, .fields = limit_fields },
+  { "log", FQ_FIELD_OBJECT, .fields = log_fields },
+  { "seeds", FQ_FIELD_ADDRESSES, .offset = offsetof (fq_node_settings_t, seeds),
+    .size = FQ_ADDRESS_BYTES, .max = FQ_NODE_SEEDS_MAX,
+    .count_offset = offsetof (fq_node_settings_t, seed_count) },
+  { NULL },
+};
+
+int
+fq_node_settings_load (fq_node_settings_t *out, const char *path)
+{
+  fq_reader_t reader = { .directory = "." };
+  json_error_t fault;
+  json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, &fault);
+
+  if (root == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_SETTINGS,
+                         fault.line < 0 ? FQ_ERROR_IO : FQ_ERROR_INVALID, "%s:%d: %s",
+                         path, fault.line, fault.text);
+  *out = (fq_node_settings_t){ 0 };
+  if (json_is_object (root))
+    fq_reader_read (&reader, out, fields, root);
+  else
+    fq_reader_fault (&reader, "", "is not a JSON object");
+  json_decref (root);
+  if (reader.fault_count == 0)
+    return FQ_OK;
+  return fq_error_set (FQ_ERROR_CLASS_SETTINGS, FQ_ERROR_INVALID, "%s: %zu fault%s\n%s",
+                       path, reader.fault_count, reader.fault_count == 1 ? "" : "s",
+                       reader.faults);
+}
--- /dev/null
+++ b/src/node/store_watch.c
@@ -0,0 +1,334 @@
+#include "node/store_watch.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_document.h"
+#include "filbertquay/errors.h"
+#include "http/client.h"
+#include "node/event_log.h"
+#include "store_calls.h"
+#include "util/text.h"
+
+#define FQ_READ_TIMEOUT_MS 2500
+#define FQ_FEED_WAIT_MS 25000
+#define FQ_FEED_TIMEOUT_MS 28000
+#define FQ_RETRY_FIRST_SECONDS 0.1
+#define FQ_RETRY_MAX_SECONDS 1.0
+
+/** enum directory_step_t - what the directory does next. */
+typedef enum
+{
+  DIRECTORY_IDLE,
+  DIRECTORY_ENTERING, /* writes the row of this node */
+  DIRECTORY_READING,
+} directory_step_t;
+
+struct fq_store_watch
+{
+  fq_io_t *io;
+  fq_http_client_t *client;
+  char store[FQ_ADDRESS_BYTES];
+  char self[FQ_ADDRESS_BYTES];
+  const fq_store_watch_handlers_t *handlers;
+  void *context;
+  fq_http_call_t *config_call;
+  fq_http_call_t *directory_call;
+  ev_timer config_retry;
+  ev_timer directory_retry;
+  double config_wait; /* before the next try, seconds */
+  uint64_t version;   /* of the store, up to which the feed was read; 0: read all */
+  bool entered;       /* the directory has the row of this node */
+  bool lost;          /* the last call for the configuration failed */
+  directory_step_t step;
+};
+
+static void follow_config (fq_store_watch_t *watch);
+static void go_on_with_directory (fq_store_watch_t *watch);
+
+void
+fq_node_address_text (char *out, fq_node_address_t address)
+{
+  struct in_addr in = { .s_addr = htonl (address) };
+
+  if (inet_ntop (AF_INET, &in, out, FQ_ADDRESS_BYTES) == NULL)
+    out[0] = '\0';
+}
+
+static void
+retry_config (fq_store_watch_t *watch, const char *reason, unsigned int status)
+{
+  if (!watch->lost)
+    fq_event_log_printf (true, "event=store-lost reason=%s status=%u read_up_to=%llu",
+                         reason, status, (unsigned long long)watch->version);
+  watch->lost = true;
+  ev_timer_stop (watch->io->loop, &watch->config_retry);
+  ev_timer_set (&watch->config_retry, watch->config_wait, 0.);
+  ev_timer_start (watch->io->loop, &watch->config_retry);
+  watch->config_wait *= 2;
+  if (watch->config_wait > FQ_RETRY_MAX_SECONDS)
+    watch->config_wait = FQ_RETRY_MAX_SECONDS;
+}
+
+static void
+config_answers (fq_store_watch_t *watch)
+{
+  if (watch->lost)
+    fq_event_log_printf (false, "event=store-regained read_up_to=%llu",
+                         (unsigned long long)watch->version);
+  watch->lost = false;
+  watch->config_wait = FQ_RETRY_FIRST_SECONDS;
+}
+
+static void
+take_config_row (fq_store_watch_t *watch, const fq_platform_row_t *row)
+{
+  fq_config_t *config;
+
+  if (strcmp (row->key, FQ_PLATFORM_CONFIG_KEY) != 0 || row->value == NULL)
+    return;
+  if (fq_platform_read_config (&config, row->value->data, row->value->size) < 0)
+    {
+      fq_event_log_printf (true, "event=config-refused row_version=%llu fault=\"%s\"",
+                           (unsigned long long)row->version, fq_error_last ()->message);
+      return;
+    }
+  watch->handlers->config (watch->context, config);
+  fq_config_unref (config);
+}
+
+static void
+on_config_answered (void *context, fq_http_message_t *answer)
+{
+  fq_store_watch_t *watch = context;
+  fq_platform_rows_t rows;
+
+  watch->config_call = NULL;
+  if (fq_platform_feed_is_broken (answer))
+    {
+      fq_event_log_printf (true, "event=feed-broken read_up_to=%llu",
+                           (unsigned long long)watch->version);
+      watch->version = 0;
+      follow_config (watch);
+      return;
+    }
+  if (fq_platform_rows_of (&rows, answer) < 0)
+    {
+      retry_config (watch, "refused", answer->status);
+      return;
+    }
+  watch->version = rows.version;
+  config_answers (watch);
+  for (size_t i = 0; i < rows.count; i++)
+    take_config_row (watch, &rows.rows[i]);
+  fq_platform_rows_clear (&rows);
+  follow_config (watch);
+}
+
+static void
+on_config_failed (void *context, fq_http_failure_t failure)
+{
+  fq_store_watch_t *watch = context;
+
+  watch->config_call = NULL;
+  retry_config (watch, failure == FQ_HTTP_FAILURE_REFUSED ? "connect" : "no-answer", 0);
+}
+
+static const fq_http_call_handlers_t config_handlers = {
+  .answered = on_config_answered,
+  .failed = on_config_failed,
+};
+
+static void
+follow_config (fq_store_watch_t *watch)
+{
+  bool feed = watch->version != 0;
+  fq_http_call_options_t options
+      = { .timeout_ms = feed ? FQ_FEED_TIMEOUT_MS : FQ_READ_TIMEOUT_MS };
+  fq_http_message_t *request;
+
+  if (feed)
+    request = fq_platform_read_feed (FQ_PLATFORM_TABLE_OPERATORS, watch->store,
+                                     watch->version, FQ_FEED_WAIT_MS);
+  else
+    request = fq_platform_read_rows (FQ_PLATFORM_TABLE_OPERATORS, watch->store,
+                                     FQ_PLATFORM_CONFIG_KEY);
+  if (fq_http_client_call (&watch->config_call, watch->client, request, &options,
+                           &config_handlers, watch)
+      < 0)
+    {
+      watch->config_call = NULL;
+      retry_config (watch, "connect", 0);
+    }
+  fq_http_message_unref (request);
+}
+
+static void
+on_config_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  follow_config (timer->data);
+}
+
+static void
+retry_directory (fq_store_watch_t *watch)
+{
+  ev_timer_stop (watch->io->loop, &watch->directory_retry);
+  ev_timer_set (&watch->directory_retry, FQ_RETRY_MAX_SECONDS, 0.);
+  ev_timer_start (watch->io->loop, &watch->directory_retry);
+}
+
+static void
+take_nodes (fq_store_watch_t *watch, const fq_platform_rows_t *rows)
+{
+  fq_node_address_t *addresses = calloc (rows->count + 1, sizeof *addresses);
+  size_t count = 0;
+
+  if (addresses == NULL)
+    abort ();
+  for (size_t i = 0; i < rows->count; i++)
+    {
+      struct in_addr in;
+
+      if (inet_pton (AF_INET, rows->rows[i].key, &in) == 1)
+        addresses[count++] = ntohl (in.s_addr);
+    }
+  fq_event_log_printf (false, "event=directory-read nodes=%zu store_version=%llu", count,
+                       (unsigned long long)rows->version);
+  watch->handlers->nodes (watch->context, addresses, count);
+  free (addresses);
+}
+
+static void
+on_directory_answered (void *context, fq_http_message_t *answer)
+{
+  fq_store_watch_t *watch = context;
+  fq_platform_rows_t rows;
+
+  watch->directory_call = NULL;
+  if (watch->step == DIRECTORY_ENTERING)
+    {
+      if (answer->status != 200)
+        {
+          retry_directory (watch);
+          return;
+        }
+      watch->entered = true;
+      watch->step = DIRECTORY_READING;
+      go_on_with_directory (watch);
+      return;
+    }
+  if (fq_platform_rows_of (&rows, answer) < 0)
+    {
+      retry_directory (watch);
+      return;
+    }
+  watch->step = DIRECTORY_IDLE;
+  take_nodes (watch, &rows);
+  fq_platform_rows_clear (&rows);
+}
+
+static void
+on_directory_failed (void *context, fq_http_failure_t failure)
+{
+  fq_store_watch_t *watch = context;
+
+  (void)failure;
+  watch->directory_call = NULL;
+  retry_directory (watch);
+}
+
+static const fq_http_call_handlers_t directory_handlers = {
+  .answered = on_directory_answered,
+  .failed = on_directory_failed,
+};
+
+static void
+go_on_with_directory (fq_store_watch_t *watch)
+{
+  fq_http_call_options_t options = { .timeout_ms = FQ_READ_TIMEOUT_MS };
+  fq_http_message_t *request;
+
+  if (watch->step == DIRECTORY_ENTERING)
+    request
+        = fq_platform_put_row (FQ_PLATFORM_TABLE_NODES, watch->store, watch->self, "{}");
+  else
+    request = fq_platform_read_rows (FQ_PLATFORM_TABLE_NODES, watch->store, "");
+  if (fq_http_client_call (&watch->directory_call, watch->client, request, &options,
+                           &directory_handlers, watch)
+      < 0)
+    {
+      watch->directory_call = NULL;
+      retry_directory (watch);
+    }
+  fq_http_message_unref (request);
+}
+
+static void
+on_directory_retry (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  go_on_with_directory (timer->data);
+}
+
+void
+fq_store_watch_find_nodes (fq_store_watch_t *watch)
+{
+  if (watch->step != DIRECTORY_IDLE)
+    return;
+  watch->step = watch->entered ? DIRECTORY_READING : DIRECTORY_ENTERING;
+  go_on_with_directory (watch);
+}
+
+int
+fq_store_watch_open (fq_store_watch_t **out,
+                     fq_io_t *io,
+                     const char *store_address,
+                     fq_node_address_t self,
+                     const fq_store_watch_handlers_t *handlers,
+                     void *context)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_store_watch_t *watch = calloc (1, sizeof *watch);
+  struct sockaddr_in address;
+  int error;
+
+  if (watch == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_STORE, FQ_ERROR_NOMEM, "no memory for the store");
+  error = fq_address_parse (&address, store_address);
+  if (error == FQ_OK)
+    error = fq_http_client_new (&watch->client, io, &address, &options);
+  if (error < 0)
+    {
+      free (watch);
+      return error;
+    }
+  watch->io = io;
+  watch->handlers = handlers;
+  watch->context = context;
+  watch->config_wait = FQ_RETRY_FIRST_SECONDS;
+  fq_text_copy (watch->store, sizeof watch->store, store_address);
+  fq_node_address_text (watch->self, self);
+  ev_timer_init (&watch->config_retry, on_config_retry, 0., 0.);
+  ev_timer_init (&watch->directory_retry, on_directory_retry, 0., 0.);
+  watch->config_retry.data = watch;
+  watch->directory_retry.data = watch;
+  follow_config (watch);
+  *out = watch;
+  return FQ_OK;
+}
+
+void
+fq_store_watch_close (fq_store_watch_t *watch)
+{
+  if (watch == NULL)
+    return;
+  ev_timer_stop (watch->io->loop, &watch->config_retry);
+  ev_timer_stop (watch->io->loop, &watch->directory_retry);
+  fq_http_client_free (watch->client);
+  free (watch);
+}
--- a/src/settings/reader.c
+++ b/src/settings/reader.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "util/duration.h"
 #include "util/text.h"
 
 #define FQ_READER_VALUE_BYTES 64
@@ -168,6 +169,41 @@
   fault_value (reader, field, value, allowed);
 }
 
+static void
+read_duration (fq_reader_t *reader,
+               uint32_t *to,
+               const fq_field_t *field,
+               const json_t *value)
+{
+  const char *text = json_string_value (value);
+  char allowed[FQ_READER_ALLOWED_BYTES];
+  uint32_t ms;
+
+  if (text != NULL && fq_duration_parse (&ms, text) == FQ_OK && ms >= field->min
+      && ms <= field->max)
+    {
+      *to = ms;
+      return;
+    }
+  snprintf (allowed, sizeof allowed, "a time from \"%ums\" to \"%ums\"", field->min,
+            field->max);
+  fault_value (reader, field, value, allowed);
+}
+
+static void
+read_fraction (fq_reader_t *reader,
+               double *to,
+               const fq_field_t *field,
+               const json_t *value)
+{
+  double number = json_number_value (value);
+
+  if (json_is_number (value) && number >= 0 && number <= 1)
+    *to = number;
+  else
+    fault_value (reader, field, value, "a number from 0 to 1");
+}
+
 static void
 read_choice (fq_reader_t *reader, int *to, const fq_field_t *field, const json_t *value)
 {
@@ -349,6 +385,12 @@
     case FQ_FIELD_NUMBER:
       read_number (reader, to, field, value);
       break;
+    case FQ_FIELD_DURATION:
+      read_duration (reader, to, field, value);
+      break;
+    case FQ_FIELD_FRACTION:
+      read_fraction (reader, to, field, value);
+      break;
     case FQ_FIELD_CHOICE:
       read_choice (reader, to, field, value);
       break;
--- /dev/null
+++ b/src/sidecar/filbertquay_node.c
@@ -0,0 +1,146 @@
+/**
+ * DOC: filbertquay-node, the process that runs beside each server on the users' platform.
+ *
+ * SIGTERM begins a graceful shutdown; SIGHUP reads the settings again.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <ev.h>
+
+#include "filbertquay/errors.h"
+#include "node/event_log.h"
+#include "node/node.h"
+
+#define FQ_EXIT_USAGE 2
+#define FQ_SETTINGS_VARIABLE "FILBERTQUAY_NODE_FILE"
+
+typedef struct
+{
+  const char *path;
+  bool check;
+} options_t;
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  options_t *options = state->input;
+
+  switch (key)
+    {
+    case 'c':
+      options->check = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (state->arg_num > 0)
+        argp_usage (state);
+      options->path = argument;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+read_arguments (options_t *options, int argc, char **argv)
+{
+  static const struct argp_option table[] = {
+    { "check", 'c', NULL, 0, "Check the settings, print all faults, and end", 0 },
+    { 0 },
+  };
+  static const struct argp argp = {
+    .options = table,
+    .parser = parse_option,
+    .args_doc = "[SETTINGS]",
+    .doc = "The node that runs beside a server. Without SETTINGS, the file that "
+           "FILBERTQUAY_NODE_FILE names is read."
+           "\vExit status: 0 after a graceful shutdown or a check without faults, 1 when "
+           "it failed, 2 wrong usage.",
+  };
+
+  argp_err_exit_status = FQ_EXIT_USAGE;
+  options->path = getenv (FQ_SETTINGS_VARIABLE);
+  argp_parse (&argp, argc, argv, 0, NULL, options);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *signal, int events)
+{
+  (void)loop;
+  (void)events;
+  fq_node_stop (signal->data);
+}
+
+static void
+on_reload (struct ev_loop *loop, ev_signal *signal, int events)
+{
+  (void)loop;
+  (void)events;
+  fq_node_reload (signal->data);
+}
+
+static void
+serve (struct ev_loop *loop, fq_node_t *node)
+{
+  ev_signal terminate;
+  ev_signal interrupt;
+  ev_signal hangup;
+
+  ev_signal_init (&terminate, on_stop, SIGTERM);
+  ev_signal_init (&interrupt, on_stop, SIGINT);
+  ev_signal_init (&hangup, on_reload, SIGHUP);
+  terminate.data = node;
+  interrupt.data = node;
+  hangup.data = node;
+  ev_signal_start (loop, &terminate);
+  ev_signal_start (loop, &interrupt);
+  ev_signal_start (loop, &hangup);
+  ev_run (loop, 0);
+  ev_signal_stop (loop, &terminate);
+  ev_signal_stop (loop, &interrupt);
+  ev_signal_stop (loop, &hangup);
+}
+
+int
+main (int argc, char **argv)
+{
+  static fq_node_settings_t settings;
+  options_t options = { 0 };
+  struct ev_loop *loop;
+  fq_node_t *node = NULL;
+
+  read_arguments (&options, argc, argv);
+  if (options.path == NULL)
+    {
+      fprintf (stderr, "filbertquay-node: no settings file is named\n");
+      return FQ_EXIT_USAGE;
+    }
+  if (fq_node_settings_load (&settings, options.path) < 0)
+    goto fail;
+  if (options.check)
+    {
+      printf ("%s: no faults\n", options.path);
+      return EXIT_SUCCESS;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  loop = ev_default_loop (EVBACKEND_EPOLL);
+  if (loop == NULL)
+    {
+      fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_IO, "no event loop can be made");
+      goto fail;
+    }
+  if (fq_event_log_open (loop, settings.log_level > 0) < 0
+      || fq_node_open (&node, loop, &settings, options.path) < 0)
+    goto fail;
+  serve (loop, node);
+  fq_node_close (node);
+  fq_event_log_printf (false, "event=end node=%s", settings.node);
+  fq_event_log_close ();
+  return EXIT_SUCCESS;
+
+fail:
+  fprintf (stderr, "filbertquay-node: %s\n", fq_error_last ()->message);
+  return EXIT_FAILURE;
+}
--- /dev/null
+++ b/src/wire/mesh_codec.c
@@ -0,0 +1,248 @@
+#include "wire/mesh_codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "filbertquay/errors.h"
+#include "util/text.h"
+#include "wire/mesh.pb-c.h"
+
+#define FQ_LENGTH_BYTES 4
+
+/* The parts of a frame that protobuf-c wants as structures of their own. */
+typedef struct
+{
+  Fq__Mesh__Frame frame;
+  Fq__Mesh__Room room;
+  Fq__Mesh__Server server;
+  Fq__Mesh__Offer offer;
+  Fq__Mesh__Message message;
+} wire_frame_t;
+
+static void
+room_to_wire (wire_frame_t *wire, const fq_room_t *room)
+{
+  fq__mesh__room__init (&wire->room);
+  wire->room.limit = room->limit;
+  wire->room.in_flight = room->in_flight;
+  wire->room.queued = room->queued;
+  wire->room.wait_ms = room->wait_ms;
+  wire->room.config_version = room->config_version;
+  wire->frame.room = &wire->room;
+}
+
+static void
+server_to_wire (wire_frame_t *wire, const fq_server_t *server)
+{
+  fq__mesh__server__init (&wire->server);
+  wire->server.service = (char *)server->service;
+  wire->server.instance = (char *)server->instance;
+  wire->server.phase = server->phase;
+  wire->frame.server = &wire->server;
+}
+
+static void
+offer_to_wire (wire_frame_t *wire, const fq_offer_t *offer)
+{
+  fq__mesh__offer__init (&wire->offer);
+  wire->offer.service = (char *)offer->service;
+  wire->offer.request_id = (char *)offer->request_id;
+  wire->offer.caller = (char *)offer->caller;
+  wire->offer.rank = offer->rank;
+  wire->offer.remaining_ms = offer->remaining_ms;
+  wire->offer.target_latency_ms = offer->target_latency_ms;
+  wire->offer.route = offer->route;
+  wire->offer.fingerprint = offer->fingerprint;
+  wire->offer.idempotent = offer->idempotent;
+  wire->offer.repeat = offer->repeat;
+  wire->frame.offer = &wire->offer;
+}
+
+static void
+message_to_wire (wire_frame_t *wire, const fq_http_message_t *message)
+{
+  fq__mesh__message__init (&wire->message);
+  wire->message.method = (char *)message->method;
+  if (message->target != NULL)
+    wire->message.target = message->target;
+  wire->message.status = message->status;
+  wire->message.fields = message->fields;
+  if (message->body != NULL)
+    {
+      wire->message.body.data = message->body->data;
+      wire->message.body.len = message->body->size;
+    }
+  wire->frame.message = &wire->message;
+}
+
+static void
+frame_to_wire (wire_frame_t *wire, const fq_frame_t *frame)
+{
+  fq__mesh__frame__init (&wire->frame);
+  wire->frame.kind = frame->kind;
+  wire->frame.attempt = frame->attempt;
+  wire->frame.cause = frame->cause;
+  wire->frame.reached_server = frame->reached_server;
+  wire->frame.retry_after_ms = frame->retry_after_ms;
+  wire->frame.number = frame->number;
+  wire->frame.zone = (char *)frame->zone;
+  wire->frame.n_nodes = frame->node_count;
+  wire->frame.nodes = frame->nodes;
+  wire->frame.n_fingerprints = frame->fingerprint_count;
+  wire->frame.fingerprints = frame->fingerprints;
+  wire->frame.document.data = frame->document;
+  wire->frame.document.len = frame->document_size;
+  room_to_wire (wire, &frame->room);
+  if (frame->kind == FQ_FRAME_WELCOME || frame->kind == FQ_FRAME_SERVER)
+    server_to_wire (wire, &frame->server);
+  if (frame->kind == FQ_FRAME_OFFER)
+    offer_to_wire (wire, &frame->offer);
+  if (frame->message != NULL)
+    message_to_wire (wire, frame->message);
+}
+
+static void
+write_length (uint8_t *out, uint32_t length)
+{
+  out[0] = (uint8_t)(length >> 24);
+  out[1] = (uint8_t)(length >> 16);
+  out[2] = (uint8_t)(length >> 8);
+  out[3] = (uint8_t)length;
+}
+
+static uint32_t
+read_length (const uint8_t *in)
+{
+  return (uint32_t)in[0] << 24 | (uint32_t)in[1] << 16 | (uint32_t)in[2] << 8 | in[3];
+}
+
+void
+fq_mesh_frame_write (fq_buffer_t *out, const fq_frame_t *frame)
+{
+  wire_frame_t wire;
+  size_t size;
+
+  frame_to_wire (&wire, frame);
+  size = fq__mesh__frame__get_packed_size (&wire.frame);
+  fq_buffer_reserve (out, FQ_LENGTH_BYTES + size);
+  write_length (out->data + out->end, (uint32_t)size);
+  fq__mesh__frame__pack (&wire.frame, out->data + out->end + FQ_LENGTH_BYTES);
+  out->end += FQ_LENGTH_BYTES + size;
+}
+
+static int
+message_of_wire (fq_frame_t *out, const Fq__Mesh__Message *wire)
+{
+  fq_http_message_t *message = fq_http_message_new ();
+
+  out->message = message;
+  fq_text_copy (message->method, sizeof message->method, wire->method);
+  message->status = (uint16_t)wire->status;
+  free (message->fields);
+  message->fields = strdup (wire->fields);
+  if (wire->target[0] != '\0')
+    message->target = strdup (wire->target);
+  if (message->fields == NULL)
+    return FQ_ERROR_NOMEM;
+  if (wire->body.len > 0)
+    return fq_blob_new (&message->body, wire->body.data, wire->body.len);
+  return FQ_OK;
+}
+
+static void
+offer_of_wire (fq_offer_t *out, const Fq__Mesh__Offer *wire)
+{
+  fq_text_copy (out->service, sizeof out->service, wire->service);
+  fq_text_copy (out->request_id, sizeof out->request_id, wire->request_id);
+  fq_text_copy (out->caller, sizeof out->caller, wire->caller);
+  out->rank = wire->rank;
+  out->remaining_ms = wire->remaining_ms;
+  out->target_latency_ms = wire->target_latency_ms;
+  out->route = wire->route;
+  out->fingerprint = wire->fingerprint;
+  out->idempotent = wire->idempotent;
+  out->repeat = wire->repeat;
+}
+
+static void
+parts_of_wire (fq_frame_t *out, const Fq__Mesh__Frame *wire)
+{
+  if (wire->room != NULL)
+    out->room = (fq_room_t){
+      .limit = wire->room->limit,
+      .in_flight = wire->room->in_flight,
+      .queued = wire->room->queued,
+      .wait_ms = wire->room->wait_ms,
+      .config_version = wire->room->config_version,
+    };
+  if (wire->server != NULL)
+    {
+      fq_text_copy (out->server.service, FQ_NAME_BYTES, wire->server->service);
+      fq_text_copy (out->server.instance, FQ_INSTANCE_BYTES, wire->server->instance);
+      out->server.phase = (fq_phase_t)wire->server->phase;
+    }
+  if (wire->offer != NULL)
+    offer_of_wire (&out->offer, wire->offer);
+}
+
+static void *
+copy_bytes (const void *data, size_t size)
+{
+  void *copy;
+
+  if (size == 0)
+    return NULL;
+  copy = malloc (size);
+  if (copy == NULL)
+    abort ();
+  memcpy (copy, data, size);
+  return copy;
+}
+
+static int
+frame_of_wire (fq_frame_t *out, const Fq__Mesh__Frame *wire)
+{
+  *out = (fq_frame_t){
+    .kind = (fq_frame_kind_t)wire->kind,
+    .attempt = wire->attempt,
+    .cause = (fq_refusal_t)wire->cause,
+    .reached_server = wire->reached_server,
+    .retry_after_ms = wire->retry_after_ms,
+    .number = wire->number,
+    .node_count = wire->n_nodes,
+    .fingerprint_count = wire->n_fingerprints,
+    .document_size = wire->document.len,
+  };
+  fq_text_copy (out->zone, sizeof out->zone, wire->zone);
+  out->nodes = copy_bytes (wire->nodes, wire->n_nodes * sizeof *out->nodes);
+  out->fingerprints
+      = copy_bytes (wire->fingerprints, wire->n_fingerprints * sizeof *out->fingerprints);
+  out->document = copy_bytes (wire->document.data, wire->document.len);
+  parts_of_wire (out, wire);
+  return wire->message == NULL ? FQ_OK : message_of_wire (out, wire->message);
+}
+
+int
+fq_mesh_frame_read (fq_frame_t *out, fq_buffer_t *in)
+{
+  uint32_t size;
+  Fq__Mesh__Frame *wire;
+  int error;
+
+  if (fq_buffer_size (in) < FQ_LENGTH_BYTES)
+    return FQ_ERROR_AGAIN;
+  size = read_length (fq_buffer_bytes (in));
+  if (size > FQ_MESH_FRAME_BYTES_MAX)
+    return fq_error_set (FQ_ERROR_CLASS_WIRE, FQ_ERROR_INVALID, "a frame of %u bytes",
+                         size);
+  if (fq_buffer_size (in) < FQ_LENGTH_BYTES + (size_t)size)
+    return FQ_ERROR_AGAIN;
+  wire = fq__mesh__frame__unpack (NULL, size, fq_buffer_bytes (in) + FQ_LENGTH_BYTES);
+  if (wire == NULL)
+    return fq_error_set (FQ_ERROR_CLASS_WIRE, FQ_ERROR_INVALID,
+                         "a frame that can't be read");
+  error = frame_of_wire (out, wire);
+  fq__mesh__frame__free_unpacked (wire, NULL);
+  fq_buffer_consume (in, FQ_LENGTH_BYTES + (size_t)size);
+  return error;
+}
