Hold back new work whose calls find no room further down

Ruled out: ordering alone (the refused calls already went before new work of lower rank). Change: a call is known as its server's by the id of the running request that it names; such calls go first, by the priority of their origin; a gate limits new work of a rank while calls of such work fail (src/mesh/pressure.c).

--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -16,6 +16,7 @@
 #include "util/text.h"
 
 #define FQ_STATUS_NOT_FOUND 404
+#define FQ_STATUS_SERVER_ERROR 500
 #define FQ_STATUS_BAD_GATEWAY 502
 #define FQ_STATUS_UNAVAILABLE 503
 #define FQ_STATUS_TIMEOUT 504
@@ -56,6 +57,31 @@
   free (exchange);
 }
 
+/* A call belongs to the work that our server does now for the request that it names. */
+static void
+adopt_parent (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *parent_id)
+{
+  const fq_gate_run_t *parent = fq_gate_run_of_request (mesh, parent_id);
+
+  if (parent == NULL)
+    return;
+  memcpy (exchange->parent_id, parent_id, sizeof exchange->parent_id);
+  exchange->rank = fq_rank_inner (parent->offer.rank);
+  exchange->repeat_of_parent = parent->offer.repeat;
+}
+
+static void
+tell_parent (fq_mesh_t *mesh, const fq_exchange_t *exchange)
+{
+  fq_gate_run_t *parent;
+
+  if (exchange->parent_id[0] == '\0')
+    return;
+  parent = fq_gate_run_of_request (mesh, exchange->parent_id);
+  if (parent != NULL)
+    parent->starved = true;
+}
+
 static void
 log_end (fq_mesh_t *mesh,
          const fq_exchange_t *exchange,
@@ -102,6 +128,7 @@
   uint32_t retry_after_ms = exchange->retry_after_ms != 0 ? exchange->retry_after_ms
                                                           : FQ_RETRY_AFTER_DEFAULT_MS;
 
+  tell_parent (mesh, exchange);
   mesh->metrics.counters[FQ_METRIC_REFUSED]++;
   log_end (mesh, exchange, FQ_STATUS_UNAVAILABLE, "not-run", cause);
   reply_own (mesh, exchange->id, FQ_STATUS_UNAVAILABLE,
@@ -115,6 +142,7 @@
                 uint16_t status,
                 const char *cause)
 {
+  tell_parent (mesh, exchange);
   mesh->metrics.counters[FQ_METRIC_FAILED]++;
   log_end (mesh, exchange, status, "may-have-run", cause);
   reply_own (mesh, exchange->id, status, 0, cause);
@@ -163,7 +191,7 @@
   offer->route = exchange->route_id;
   offer->fingerprint = exchange->fingerprint;
   offer->idempotent = exchange->idempotent;
-  offer->repeat = exchange->servers_reached > 0;
+  offer->repeat = exchange->servers_reached > 0 || exchange->repeat_of_parent;
 }
 
 static void
@@ -228,16 +256,6 @@
   return hash | 1;
 }
 
-static uint32_t
-rank_of (const fq_mesh_request_t *request, const fq_route_t *route)
-{
-  uint32_t rank = FQ_RANK_OUTSIDE + route->priority;
-
-  if (request->from_server)
-    return FQ_RANK_INNER;
-  return rank < FQ_RANKS ? rank : FQ_RANKS - 1;
-}
-
 static fq_exchange_t *
 new_exchange (fq_mesh_t *mesh, const fq_mesh_request_t *request, fq_route_t *route)
 {
@@ -256,11 +274,10 @@
   exchange->config_version = mesh->config->version;
   exchange->route_id = route->id;
   exchange->fingerprint = fingerprint_of (mesh, request);
-  exchange->rank = rank_of (request, route);
+  exchange->rank = fq_rank_outside (route->priority);
   exchange->max_attempts = route->max_attempts;
   exchange->target_latency_ms = route->target_latency_ms;
   exchange->idempotent = route->idempotent;
-  exchange->from_server = request->from_server;
   exchange->received = mesh->now;
   exchange->deadline = mesh->now + ms_to_us (allowed_ms);
   exchange->client_deadline = mesh->now + ms_to_us (client_ms);
@@ -268,6 +285,7 @@
   memcpy (exchange->route, route->name, sizeof exchange->route);
   fq_text_copy (exchange->service, sizeof exchange->service,
                 fq_route_next_target (route));
+  adopt_parent (mesh, exchange, request->parent_id);
   fq_list_init (&exchange->link);
   exchange->timer.kind = FQ_MESH_TIMER_EXCHANGE;
   fq_timers_arm (&mesh->timers, &exchange->timer, exchange->deadline);
@@ -354,6 +372,8 @@
   mesh->metrics.counters[FQ_METRIC_ANSWERED]++;
   fq_histogram_add (&mesh->metrics.exchange_us, mesh->now - exchange->received);
   exchange->servers_reached++;
+  if (frame->message->status >= FQ_STATUS_SERVER_ERROR)
+    tell_parent (mesh, exchange);
   log_end (mesh, exchange, frame->message->status, "answered", "none");
   free_exchange (mesh, exchange);
 }
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -116,6 +116,10 @@
 static void
 free_run (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
+  uint64_t request_key = fq_map_hash (run->offer.request_id);
+
+  if (fq_map_get (&mesh->gate.runs_by_request, request_key) == run)
+    fq_map_remove (&mesh->gate.runs_by_request, request_key);
   fq_map_remove (&mesh->gate.runs_by_id, run->id);
   fq_map_remove (&mesh->gate.runs_by_attempt, attempt_key (run->asker, run->attempt));
   fq_timers_cancel (&mesh->timers, &run->timer);
@@ -128,10 +132,16 @@
 static void
 release_room (fq_mesh_t *mesh, fq_gate_run_t *run, fq_time_t took)
 {
+  fq_waiting_t *waiting = &mesh->gate.waiting;
+
   if (run->stage == FQ_STAGE_WAITING)
-    fq_waiting_remove (&mesh->gate.waiting, &run->waiting);
-  else
-    fq_waiting_end (&mesh->gate.waiting, &run->waiting, took);
+    {
+      fq_waiting_remove (waiting, &run->waiting);
+      return;
+    }
+  fq_waiting_end (waiting, &run->waiting, took);
+  if (took > 0 || run->starved)
+    fq_waiting_learn (waiting, mesh->now, run->started, run->waiting.rank, run->starved);
 }
 
 static void
@@ -152,6 +162,9 @@
 
   run->stage = FQ_STAGE_RUNNING;
   run->started = mesh->now;
+  if (fq_map_set (&mesh->gate.runs_by_request, fq_map_hash (run->offer.request_id), run)
+      < 0)
+    abort ();
   effect->server_call.run = run->id;
   effect->server_call.remaining_ms
       = left > 0 ? (uint32_t)(left / FQ_MICROSECONDS_PER_MS) : 1;
@@ -210,14 +223,12 @@
 {
   fq_waiting_t *waiting = &mesh->gate.waiting;
 
-  while (fq_waiting_has_room (waiting) && fq_gate_takes_work (mesh))
+  fq_waiting_entry_t *entry;
+
+  while (fq_gate_takes_work (mesh) && (entry = fq_waiting_next (waiting)) != NULL)
     {
-      fq_waiting_entry_t *entry = fq_waiting_next (waiting);
-      fq_gate_run_t *run;
+      fq_gate_run_t *run = FQ_LIST_ENTRY (entry, fq_gate_run_t, waiting);
 
-      if (entry == NULL)
-        return;
-      run = FQ_LIST_ENTRY (entry, fq_gate_run_t, waiting);
       fq_waiting_remove (waiting, entry);
       take_room (mesh, run);
     }
@@ -233,7 +244,7 @@
 
   if (left <= 0)
     return FQ_REFUSAL_EXPIRED;
-  if (wait == 0 && waiting->queued == 0)
+  if (wait == 0)
     return FQ_REFUSAL_NONE;
   if ((double)(wait + run) > (double)left * FQ_IN_TIME_SHARE)
     return FQ_REFUSAL_NO_ROOM;
@@ -319,7 +330,7 @@
       return;
     }
   run = new_run (mesh, asker, frame);
-  if (fq_waiting_has_room (&mesh->gate.waiting) && mesh->gate.waiting.queued == 0)
+  if (fq_waiting_may_start (&mesh->gate.waiting, run->waiting.rank))
     take_room (mesh, run);
   else
     wait_for_room (mesh, run);
@@ -579,6 +590,15 @@
   fq_gate_progress (mesh);
 }
 
+fq_gate_run_t *
+fq_gate_run_of_request (const fq_mesh_t *mesh, const char *request_id)
+{
+  fq_gate_run_t *run
+      = fq_map_get (&mesh->gate.runs_by_request, fq_map_hash (request_id));
+
+  return run != NULL && strcmp (run->offer.request_id, request_id) == 0 ? run : NULL;
+}
+
 void
 fq_gate_free_all (fq_mesh_t *mesh)
 {
@@ -591,5 +611,6 @@
   }
   fq_map_clear (&mesh->gate.runs_by_id);
   fq_map_clear (&mesh->gate.runs_by_attempt);
+  fq_map_clear (&mesh->gate.runs_by_request);
   fq_waiting_clear (&mesh->gate.waiting);
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -88,7 +88,8 @@
   char request_id[FQ_REQUEST_ID_BYTES];
   char host[FQ_HOST_BYTES];
   uint32_t remaining_ms; /* that the client waits; 0: not stated */
-  bool from_server;      /* our server sent it, for work that it runs */
+  char parent_id[FQ_REQUEST_ID_BYTES]; /* of the request for which a server may have sent
+                                          it; empty: none is named */
   fq_http_message_t *message;
 } fq_mesh_request_t;
 
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -86,7 +86,8 @@
   uint32_t max_attempts;
   uint32_t target_latency_ms;
   bool idempotent;
-  bool from_server;
+  bool repeat_of_parent;                /* the work that makes this call is a repeat */
+  char parent_id[FQ_REQUEST_ID_BYTES]; /* of the work that makes this call, or empty */
   fq_time_t received;
   fq_time_t deadline;        /* the answer is due */
   fq_time_t client_deadline; /* the client leaves */
@@ -121,6 +122,7 @@
   fq_offer_t offer;
   fq_http_message_t *message; /* NULL until it is handed over */
   fq_run_stage_t stage;
+  bool starved; /* a call that the server made for it failed */
   fq_time_t arrived;
   fq_time_t deadline;
   fq_time_t started;
@@ -143,6 +145,7 @@
   fq_waiting_t waiting;
   fq_list_t runs;
   fq_map_t runs_by_id;
+  fq_map_t runs_by_request; /* those that run; key: hash of the request's id */
   fq_map_t runs_by_attempt; /* key: hash of asker and attempt */
   fq_retry_budget_t budget;
   fq_crash_watch_t crash;
@@ -216,6 +219,7 @@
 void fq_gate_refuse_waiting (fq_mesh_t *mesh, fq_refusal_t cause);
 void fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out);
 bool fq_gate_takes_work (const fq_mesh_t *mesh);
+fq_gate_run_t *fq_gate_run_of_request (const fq_mesh_t *mesh, const char *request_id);
 void fq_gate_progress (fq_mesh_t *mesh);
 void fq_gate_free_all (fq_mesh_t *mesh);
 
--- a/src/mesh/waiting.c
+++ b/src/mesh/waiting.c
@@ -37,24 +37,64 @@
   return (fq_time_t)(time == NULL ? waiting->mean_us : time->mean_us);
 }
 
+uint32_t
+fq_rank_outside (uint32_t priority)
+{
+  uint32_t rank = FQ_INNER_RANKS + priority;
+
+  return rank < FQ_RANKS ? rank : FQ_RANKS - 1;
+}
+
+uint32_t
+fq_rank_inner (uint32_t parent)
+{
+  uint32_t rank = parent < FQ_INNER_RANKS ? parent : parent - FQ_INNER_RANKS;
+
+  return rank < FQ_INNER_RANKS ? rank : FQ_INNER_RANKS - 1;
+}
+
+/* The limit of a rank, or of the whole gate where that is lower. */
+static uint32_t
+limit_of (const fq_waiting_t *waiting, uint32_t rank)
+{
+  uint32_t limit = fq_pressure_limit (&waiting->pressure[rank]);
+
+  return limit < waiting->limit ? limit : waiting->limit;
+}
+
+static bool
+has_room (const fq_waiting_t *waiting, uint32_t rank)
+{
+  return waiting->in_flight < waiting->limit
+         && waiting->rank_in_flight[rank] < limit_of (waiting, rank);
+}
+
 bool
-fq_waiting_has_room (const fq_waiting_t *waiting)
+fq_waiting_may_start (const fq_waiting_t *waiting, uint32_t rank)
 {
-  return waiting->in_flight < waiting->limit;
+  if (!has_room (waiting, rank) || !fq_list_is_empty (&waiting->ranks[rank]))
+    return false;
+  for (uint32_t i = 0; i < rank; i++)
+    {
+      if (!fq_list_is_empty (&waiting->ranks[i]) && has_room (waiting, i))
+        return false;
+    }
+  return true;
 }
 
 fq_time_t
 fq_waiting_time (const fq_waiting_t *waiting, uint32_t rank)
 {
-  fq_time_t ahead = 0;
+  uint32_t limit = limit_of (waiting, rank);
+  fq_time_t ahead = waiting->queued_us[rank];
 
-  if (waiting->limit == 0 || (fq_waiting_has_room (waiting) && waiting->queued == 0))
+  if (limit == 0 || fq_waiting_may_start (waiting, rank))
     return 0;
-  for (uint32_t i = 0; i <= rank; i++)
-    ahead += waiting->queued_us[i];
   /* What runs is half done on average, and the first to end makes room. */
-  return ahead / waiting->limit
-         + waiting->in_flight_us / 2 / waiting->limit / waiting->limit;
+  ahead = ahead / limit + waiting->in_flight_us / 2 / waiting->limit / waiting->limit;
+  for (uint32_t i = 0; i < rank; i++)
+    ahead += waiting->queued_us[i] / waiting->limit;
+  return ahead;
 }
 
 void
@@ -73,7 +113,7 @@
     {
       fq_list_t *link = fq_list_first (&waiting->ranks[i]);
 
-      if (link != NULL)
+      if (link != NULL && has_room (waiting, (uint32_t)i))
         return FQ_LIST_ENTRY (link, fq_waiting_entry_t, link);
     }
   return NULL;
@@ -92,7 +132,10 @@
 {
   entry->expected_us = fq_waiting_expect (waiting, entry->route);
   waiting->in_flight++;
+  waiting->rank_in_flight[entry->rank]++;
   waiting->in_flight_us += entry->expected_us;
+  fq_pressure_started (&waiting->pressure[entry->rank],
+                       waiting->rank_in_flight[entry->rank]);
 }
 
 static void
@@ -115,7 +158,20 @@
 fq_waiting_end (fq_waiting_t *waiting, fq_waiting_entry_t *entry, fq_time_t took)
 {
   waiting->in_flight--;
+  waiting->rank_in_flight[entry->rank]--;
   waiting->in_flight_us -= entry->expected_us;
   if (took > 0)
     learn (waiting, entry->route, took);
 }
+
+/* Calls of work that runs are never held back: the work itself was let in too early. */
+void
+fq_waiting_learn (fq_waiting_t *waiting,
+                  fq_time_t now,
+                  fq_time_t started,
+                  uint32_t rank,
+                  bool starved)
+{
+  if (rank >= FQ_INNER_RANKS)
+    fq_pressure_ended (&waiting->pressure[rank], now, started, starved);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -236,9 +236,9 @@
   fq_node_t *node = context;
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
 
+  (void)from;
   event.request.id = id;
   event.request.message = message;
-  event.request.from_server = from == node->address;
   fq_platform_read_request (message, &event.request);
   feed (node, &event);
 }
