Bound waits so that what starts has time left, and stop without a gap

A node that was asked to stop refused work at its gate at once, and one that started again waited up to 1.5 s for its server's next report. Ruled out: the narrow place itself (calls took 15 ms there at p50 all the while). Change: waits take at most a third of the time left; runs that waited long don't count as starved; the gate serves on while clients learn that the node leaves; after a start the server is asked once which it is.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -13,8 +13,10 @@
 #define FQ_OVERDUE_US                                                                    \
   (60 * FQ_MICROSECONDS_PER_SECOND) /* a silent server holds a run no longer than that   \
                                        after its deadline */
-#define FQ_IN_TIME_SHARE 0.85 /* of the time left, that waiting and running may take */
-#define FQ_RETRY_SHARE 0.5    /* of the allowed repeats: their own calls repeat too */
+#define FQ_WAIT_SHARE 0.35 /* of the time left, that waiting may take */
+#define FQ_SPREAD 1.5      /* most runs take no longer than that many times the mean */
+#define FQ_RETRY_RATIO_SHARE 0.85 /* of the allowed ratio */
+#define FQ_RETRY_SLACK_SHARE 0.4  /* of the allowed slack: a restart begins it anew */
 #define FQ_RETRY_AFTER_BASE_MS 150
 #define FQ_RETRY_AFTER_RANK_MS 120 /* those of a lower rank come back first */
 #define FQ_KEY_MIX 0x9E3779B97F4A7C15ULL
@@ -54,7 +56,7 @@
 {
   const fq_gate_t *gate = &mesh->gate;
 
-  if (mesh->stopping)
+  if (mesh->closing)
     return false;
   switch (gate->server.phase)
     {
@@ -128,6 +130,13 @@
   free (run);
 }
 
+/* A run that waited long may have lacked time, and not room further down. */
+static bool
+had_time (const fq_gate_run_t *run)
+{
+  return run->started - run->arrived < (run->deadline - run->arrived) / 4;
+}
+
 /* @took: how long the server worked, 0 when that tells nothing of its speed. */
 static void
 release_room (fq_mesh_t *mesh, fq_gate_run_t *run, fq_time_t took)
@@ -140,7 +149,7 @@
       return;
     }
   fq_waiting_end (waiting, &run->waiting, took);
-  if (took > 0 || run->starved)
+  if ((took > 0 || run->starved) && had_time (run))
     fq_waiting_learn (waiting, mesh->now, run->started, run->waiting.rank, run->starved);
 }
 
@@ -202,12 +211,15 @@
 static fq_time_t
 last_start (const fq_mesh_t *mesh, const fq_gate_run_t *run)
 {
-  fq_time_t expected = fq_waiting_expect (&mesh->gate.waiting, run->offer.route);
   fq_time_t allowed = run->deadline - run->arrived;
+  fq_time_t patient = run->arrived + (fq_time_t)((double)allowed * FQ_WAIT_SHARE);
+  fq_time_t expected = (fq_time_t)(FQ_SPREAD
+                                   * (double)fq_waiting_expect (&mesh->gate.waiting,
+                                                                run->offer.route));
 
-  if (expected > allowed / 2)
-    expected = allowed / 2;
-  return run->deadline - expected;
+  if (run->deadline - expected < patient && expected < allowed)
+    return run->deadline - expected;
+  return patient;
 }
 
 static void
@@ -246,7 +258,8 @@
     return FQ_REFUSAL_EXPIRED;
   if (wait == 0)
     return FQ_REFUSAL_NONE;
-  if ((double)(wait + run) > (double)left * FQ_IN_TIME_SHARE)
+  if ((double)wait > (double)left * FQ_WAIT_SHARE
+      || (double)wait + FQ_SPREAD * (double)run > (double)left)
     return FQ_REFUSAL_NO_ROOM;
   return FQ_REFUSAL_NONE;
 }
@@ -259,8 +272,8 @@
   double slack = (double)bounds->retry_slack / (double)(gates > 0 ? gates : 1);
 
   return fq_retry_budget_spend (&mesh->gate.budget, mesh->now,
-                                bounds->retry_ratio * FQ_RETRY_SHARE,
-                                slack * FQ_RETRY_SHARE);
+                                bounds->retry_ratio * FQ_RETRY_RATIO_SHARE,
+                                slack * FQ_RETRY_SLACK_SHARE);
 }
 
 static fq_refusal_t
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -16,8 +16,8 @@
 #define FQ_NODES_US (60 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_READY_ALONE_US (1 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_STOP_CHECK_US (100 * FQ_MICROSECONDS_PER_MS)
-#define FQ_STOP_LINGER_US                                                                \
-  (2500 * FQ_MICROSECONDS_PER_MS) /* clients learn in this time that it is not ready */
+#define FQ_STOP_SERVE_US                                                                 \
+  (2200 * FQ_MICROSECONDS_PER_MS) /* clients learn in this time that it is not ready */
 #define FQ_STOP_MARGIN_US                                                                \
   (700 * FQ_MICROSECONDS_PER_MS) /* before the process is killed */
 
@@ -72,6 +72,7 @@
     case FQ_MESH_EFFECT_LINK_CLOSE:
     case FQ_MESH_EFFECT_SERVER_ABORT:
     case FQ_MESH_EFFECT_SERVER_FORGET:
+    case FQ_MESH_EFFECT_SERVER_PROBE:
     case FQ_MESH_EFFECT_LIMITS:
     case FQ_MESH_EFFECT_FIND_NODES:
     case FQ_MESH_EFFECT_RETIRE:
@@ -259,6 +260,7 @@
   fq_mesh_log (mesh, false, "event=config-in-force version=%llu previous=%llu hosts=%zu",
                (unsigned long long)config->version, (unsigned long long)old,
                config->host_count);
+  fq_server_state_look (mesh);
 }
 
 static void
@@ -359,7 +361,8 @@
   fq_gate_asker_lost (mesh, id);
 }
 
-/* What is under way ends; at last the process ends before it would be killed. */
+/* Until clients know that the node leaves, it serves on as entry and as gate. Then what is
+ * under way ends; at last the process ends before it would be killed. */
 static void
 go_on_stopping (fq_mesh_t *mesh)
 {
@@ -367,7 +370,13 @@
   fq_time_t grace = (fq_time_t)mesh->bounds.grace_ms * FQ_MICROSECONDS_PER_MS;
   bool idle = mesh->exchanges.count == 0 && mesh->gate.runs_by_id.count == 0;
 
-  if ((idle && since >= FQ_STOP_LINGER_US) || since >= grace - FQ_STOP_MARGIN_US)
+  if (since >= FQ_STOP_SERVE_US && !mesh->closing)
+    {
+      mesh->closing = true;
+      fq_server_state_tell (mesh);
+      fq_gate_refuse_waiting (mesh, FQ_REFUSAL_NO_SERVER);
+    }
+  if ((idle && mesh->closing) || since >= grace - FQ_STOP_MARGIN_US)
     {
       fq_mesh_log (mesh, !idle, "event=stopped exchanges=%zu runs=%zu after_ms=%lld",
                    mesh->exchanges.count, mesh->gate.runs_by_id.count,
@@ -388,7 +397,6 @@
   fq_mesh_log (mesh, false, "event=stopping exchanges=%zu runs=%zu",
                mesh->exchanges.count, mesh->gate.runs_by_id.count);
   fq_mesh_effect (mesh, FQ_MESH_EFFECT_RETIRE);
-  fq_server_state_tell (mesh);
   go_on_stopping (mesh);
 }
 
@@ -466,6 +474,9 @@
     case FQ_MESH_EVENT_LEAVE:
       fq_server_state_leave (mesh, &event->report);
       break;
+    case FQ_MESH_EVENT_PROBED:
+      fq_server_state_probed (mesh, event->instance);
+      break;
     case FQ_MESH_EVENT_CONFIG:
       take_config (mesh, event->config);
       break;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -76,6 +76,7 @@
   FQ_MESH_EVENT_SERVER_FAILED, /* it did not */
   FQ_MESH_EVENT_REPORT,        /* our server reports */
   FQ_MESH_EVENT_LEAVE,         /* our server says that it leaves */
+  FQ_MESH_EVENT_PROBED,        /* our server says that it is well, and which it is */
   FQ_MESH_EVENT_CONFIG,        /* a configuration was read */
   FQ_MESH_EVENT_NODES,         /* the directory names these nodes */
   FQ_MESH_EVENT_STOP,          /* the process is asked to stop */
@@ -139,6 +140,7 @@
       fq_id_t run;
       fq_server_failure_t failure;
     } server_failed;
+    const char *instance;      /* probed */
     fq_server_report_t report; /* leave: only the instance and the start count */
     fq_config_t *config;
     struct
@@ -160,6 +162,7 @@
   FQ_MESH_EFFECT_SERVER_CALL,   /* send a request to our server */
   FQ_MESH_EFFECT_SERVER_ABORT,  /* end that call; no event follows */
   FQ_MESH_EFFECT_SERVER_FORGET, /* close kept connections: the server is another one */
+  FQ_MESH_EFFECT_SERVER_PROBE,  /* ask our server whether it is well */
   FQ_MESH_EFFECT_LIMITS,        /* the limits of requests changed */
   FQ_MESH_EFFECT_FIND_NODES,    /* ask the directory which nodes there are */
   FQ_MESH_EFFECT_LOG,
@@ -199,6 +202,7 @@
       fq_http_message_t *message; /* counted reference */
     } server_call;
     fq_id_t run; /* server abort */
+    char path[FQ_PATH_BYTES]; /* server probe: where the server tells */
     fq_request_limits_t limits;
     struct
     {
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -139,6 +139,7 @@
   uint64_t server_sequence;
   uint32_t slots;
   fq_time_t reported_at;
+  bool probed; /* the server was asked for its instance, once after the start */
   fq_time_t answered_at;
   fq_time_t drain_until;
   fq_timer_entry_t timer;
@@ -185,7 +186,8 @@
   fq_mesh_metrics_t metrics;
   fq_timer_entry_t nodes_timer;
   fq_time_t started;
-  bool stopping;
+  bool stopping; /* not ready for clients any more */
+  bool closing;  /* the gate takes no work any more either */
   fq_time_t stopping_since;
   fq_timer_entry_t stop_timer;
 };
@@ -227,6 +229,8 @@
 void fq_server_state_report (fq_mesh_t *mesh, const fq_server_report_t *report);
 void fq_server_state_leave (fq_mesh_t *mesh, const fq_server_report_t *report);
 void fq_server_state_timer (fq_mesh_t *mesh);
+void fq_server_state_probed (fq_mesh_t *mesh, const char *instance);
+void fq_server_state_look (fq_mesh_t *mesh);
 void fq_server_state_lost (fq_mesh_t *mesh, const char *reason);
 void fq_server_state_tell (fq_mesh_t *mesh);
 
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -255,6 +255,7 @@
       take_server (mesh, peer, &frame->server);
       for (size_t i = 0; i < frame->node_count; i++)
         fq_peer_learn (mesh, frame->nodes[i], false);
+      fq_server_state_look (mesh);
       break;
     case FQ_FRAME_SERVER:
       take_server (mesh, peer, &frame->server);
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "mesh/mesh_private.h"
+#include "util/text.h"
 
 #define FQ_LIMIT_SHARE 0.95 /* of its slots: some servers slow down when nearly full */
 #define FQ_DRAIN_MARGIN_US (400 * FQ_MICROSECONDS_PER_MS) /* to reach the server */
@@ -19,7 +20,7 @@
   const fq_asker_t *asker;
   fq_server_t server = mesh->gate.server;
 
-  if (mesh->stopping)
+  if (mesh->closing)
     server.phase = FQ_PHASE_ABSENT;
   mesh->self->server = server;
   while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
@@ -58,11 +59,12 @@
                  mesh->now + interval * FQ_REPORTS_MISSED);
 }
 
+/* A probe names an instance without its start; the first report of it adds that. */
 static bool
 is_same_start (const fq_gate_t *gate, const fq_server_report_t *report)
 {
   return strcmp (gate->server.instance, report->instance) == 0
-         && gate->server_started_ms == report->started_ms;
+         && (gate->server_started_ms == report->started_ms || gate->server_started_ms == 0);
 }
 
 static bool
@@ -138,6 +140,7 @@
   if (!is_same_start (gate, report))
     take_start (mesh, report);
   gate->server_sequence = report->sequence;
+  gate->server_started_ms = report->started_ms;
   gate->reported_at = mesh->now;
   if (gate->drain_until != 0)
     return;
@@ -153,6 +156,58 @@
   fq_gate_progress (mesh);
 }
 
+/* Servers of one service have as many slots; the gates of the others know how many. */
+static uint32_t
+limit_of_others (const fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  uint32_t limit = 0;
+  const fq_peer_t *peer;
+
+  while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
+    {
+      if (peer != mesh->self && peer->link == FQ_LINK_UP
+          && strcmp (peer->server.service, mesh->service) == 0
+          && (limit == 0 || peer->room.limit < limit))
+        limit = peer->room.limit;
+    }
+  return limit;
+}
+
+/* A node that starts beside a server that runs need not wait for its next report. */
+void
+fq_server_state_look (fq_mesh_t *mesh)
+{
+  const fq_service_t *service;
+  fq_mesh_effect_t *effect;
+
+  if (mesh->gate.probed || mesh->gate.server.instance[0] != '\0' || mesh->config == NULL
+      || limit_of_others (mesh) == 0)
+    return;
+  service = fq_config_service (mesh->config, mesh->service);
+  if (service == NULL)
+    return;
+  mesh->gate.probed = true;
+  effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_PROBE);
+  fq_text_copy (effect->path, sizeof effect->path, service->health_path);
+}
+
+void
+fq_server_state_probed (fq_mesh_t *mesh, const char *instance)
+{
+  fq_gate_t *gate = &mesh->gate;
+  uint32_t limit = limit_of_others (mesh);
+
+  /* A report that came meanwhile says more. */
+  if (gate->server.instance[0] != '\0' || limit == 0)
+    return;
+  fq_text_copy (gate->server.instance, sizeof gate->server.instance, instance);
+  memcpy (gate->server.service, mesh->service, sizeof gate->server.service);
+  gate->waiting.limit = limit;
+  arm_report_timer (mesh);
+  enter_phase (mesh, FQ_PHASE_READY, "probed");
+}
+
 void
 fq_server_state_leave (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -130,6 +130,9 @@
     case FQ_MESH_EFFECT_SERVER_FORGET:
       fq_server_calls_forget (node->server);
       break;
+    case FQ_MESH_EFFECT_SERVER_PROBE:
+      fq_server_calls_probe (node->server, effect->path);
+      break;
     case FQ_MESH_EFFECT_LIMITS:
       set_limits (node, &effect->limits);
       break;
@@ -462,9 +465,18 @@
   feed (context, &event);
 }
 
+static void
+on_probed (void *context, const char *instance)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBED, .instance = instance };
+
+  feed (context, &event);
+}
+
 static const fq_server_calls_handlers_t server_handlers = {
   .answered = on_server_answered,
   .failed = on_server_failed,
+  .probed = on_probed,
 };
 
 static void
--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -6,11 +6,14 @@
 #include "exchange.h"
 #include "filbertquay/errors.h"
 #include "http/client.h"
+#include "node/event_log.h"
 #include "util/map.h"
+#include "util/text.h"
 
 /* A request that may not be repeated uses no connection that the server could be about
  * to close: its loss would leave the outcome unknown. */
 #define FQ_KEPT_MS_MAX_ONCE 1000
+#define FQ_PROBE_TIMEOUT_MS 1000
 
 typedef struct
 {
@@ -26,6 +29,7 @@
   const fq_server_calls_handlers_t *handlers;
   void *context;
   fq_map_t by_run;
+  char address[FQ_ADDRESS_BYTES];
 };
 
 static void
@@ -107,6 +111,7 @@
       free (calls);
       return error;
     }
+  fq_text_copy (calls->address, sizeof calls->address, address);
   calls->handlers = handlers;
   calls->context = context;
   *out = calls;
@@ -135,6 +140,44 @@
   fq_http_message_unref (request);
 }
 
+static void
+on_probe_answered (void *context, fq_http_message_t *answer)
+{
+  fq_server_calls_t *calls = context;
+  char instance[FQ_INSTANCE_BYTES];
+
+  if (fq_platform_read_probe (answer, instance, sizeof instance))
+    calls->handlers->probed (calls->context, instance);
+  else
+    fq_event_log_printf (true, "event=probe-refused status=%u", answer->status);
+}
+
+static void
+on_probe_failed (void *context, fq_http_failure_t failure)
+{
+  (void)context;
+  fq_event_log_printf (true, "event=probe-failed failure=%d", failure);
+}
+
+static const fq_http_call_handlers_t probe_handlers = {
+  .answered = on_probe_answered,
+  .failed = on_probe_failed,
+};
+
+void
+fq_server_calls_probe (fq_server_calls_t *calls, const char *path)
+{
+  fq_http_call_options_t options = { .timeout_ms = FQ_PROBE_TIMEOUT_MS };
+  fq_http_message_t *request = fq_platform_probe (calls->address, path);
+  fq_http_call_t *call;
+
+  if (fq_http_client_call (&call, calls->client, request, &options, &probe_handlers,
+                           calls)
+      < 0)
+    on_probe_failed (calls, FQ_HTTP_FAILURE_REFUSED);
+  fq_http_message_unref (request);
+}
+
 void
 fq_server_calls_abort (fq_server_calls_t *calls, fq_id_t run)
 {
--- a/src/node/server_calls.h
+++ b/src/node/server_calls.h
@@ -17,6 +17,7 @@
                     fq_server_verdict_t verdict,
                     fq_http_message_t *answer);
   void (*failed) (void *context, fq_id_t run, fq_server_failure_t failure);
+  void (*probed) (void *context, const char *instance); /* only when it is well */
 } fq_server_calls_handlers_t;
 
 /** fq_server_calls_open() - calls to the server at @address. */
@@ -29,6 +30,9 @@
 /** fq_server_calls_start() - carry out an effect of kind FQ_MESH_EFFECT_SERVER_CALL. */
 void fq_server_calls_start (fq_server_calls_t *calls, const fq_mesh_effect_t *effect);
 
+/** fq_server_calls_probe() - ask the server at @path whether it is well. */
+void fq_server_calls_probe (fq_server_calls_t *calls, const char *path);
+
 /** fq_server_calls_abort() - close the connection of a run; no handler is called. */
 void fq_server_calls_abort (fq_server_calls_t *calls, fq_id_t run);
 
