Leave new work a share of the room, and end waits while answers are worth most

Change: new work may take a tenth of the room before calls of running work; a wait ends when the answer would come after its target.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -13,8 +13,9 @@
 #define FQ_OVERDUE_US                                                                    \
   (60 * FQ_MICROSECONDS_PER_SECOND) /* a silent server holds a run no longer than that   \
                                        after its deadline */
-#define FQ_WAIT_SHARE 0.35 /* of the time left, that waiting may take */
-#define FQ_SPREAD 1.5      /* most runs take no longer than that many times the mean */
+#define FQ_WAIT_SHARE 0.35          /* of the time left, that waiting may take */
+#define FQ_WAIT_SHARE_LEAST 0.05    /* even when an answer will come late */
+#define FQ_SPREAD 1.5 /* most runs take no longer than that many times the mean */
 #define FQ_RETRY_RATIO_SHARE 0.85 /* of the allowed ratio */
 #define FQ_RETRY_SLACK_SHARE 0.4  /* of the allowed slack: a restart begins it anew */
 #define FQ_RETRY_AFTER_BASE_MS 150
@@ -207,19 +208,23 @@
     grant (mesh, run);
 }
 
-/* The last moment at which the run can start and still end in time. */
+/* How long a request may wait: it has to be answered before its time is over, and should
+ * be while its answer is worth most. */
 static fq_time_t
-last_start (const fq_mesh_t *mesh, const fq_gate_run_t *run)
+wait_max (const fq_mesh_t *mesh, const fq_offer_t *offer)
 {
-  fq_time_t allowed = run->deadline - run->arrived;
-  fq_time_t patient = run->arrived + (fq_time_t)((double)allowed * FQ_WAIT_SHARE);
-  fq_time_t expected = (fq_time_t)(FQ_SPREAD
-                                   * (double)fq_waiting_expect (&mesh->gate.waiting,
-                                                                run->offer.route));
+  double left = (double)offer->remaining_ms * FQ_MICROSECONDS_PER_MS;
+  double target = (double)offer->target_latency_ms * FQ_MICROSECONDS_PER_MS;
+  double run = (double)fq_waiting_expect (&mesh->gate.waiting, offer->route);
+  double longest = left * FQ_WAIT_SHARE;
 
-  if (run->deadline - expected < patient && expected < allowed)
-    return run->deadline - expected;
-  return patient;
+  if (left - FQ_SPREAD * run < longest)
+    longest = left - FQ_SPREAD * run;
+  if (target > 0 && target - run < longest)
+    longest = target - run;
+  if (longest < left * FQ_WAIT_SHARE_LEAST)
+    longest = left * FQ_WAIT_SHARE_LEAST;
+  return (fq_time_t)longest;
 }
 
 static void
@@ -227,14 +232,13 @@
 {
   run->stage = FQ_STAGE_WAITING;
   fq_waiting_push (&mesh->gate.waiting, &run->waiting);
-  fq_timers_arm (&mesh->timers, &run->timer, last_start (mesh, run));
+  fq_timers_arm (&mesh->timers, &run->timer, run->arrived + wait_max (mesh, &run->offer));
 }
 
 void
 fq_gate_progress (fq_mesh_t *mesh)
 {
   fq_waiting_t *waiting = &mesh->gate.waiting;
-
   fq_waiting_entry_t *entry;
 
   while (fq_gate_takes_work (mesh) && (entry = fq_waiting_next (waiting)) != NULL)
@@ -251,15 +255,10 @@
 {
   const fq_waiting_t *waiting = &mesh->gate.waiting;
   fq_time_t wait = fq_waiting_time (waiting, offer->rank);
-  fq_time_t left = (fq_time_t)offer->remaining_ms * FQ_MICROSECONDS_PER_MS;
-  fq_time_t run = fq_waiting_expect (waiting, offer->route);
 
-  if (left <= 0)
+  if (offer->remaining_ms == 0)
     return FQ_REFUSAL_EXPIRED;
-  if (wait == 0)
-    return FQ_REFUSAL_NONE;
-  if ((double)wait > (double)left * FQ_WAIT_SHARE
-      || (double)wait + FQ_SPREAD * (double)run > (double)left)
+  if (wait > 0 && wait > wait_max (mesh, offer))
     return FQ_REFUSAL_NO_ROOM;
   return FQ_REFUSAL_NONE;
 }
@@ -606,8 +605,7 @@
 fq_gate_run_t *
 fq_gate_run_of_request (const fq_mesh_t *mesh, const char *request_id)
 {
-  fq_gate_run_t *run
-      = fq_map_get (&mesh->gate.runs_by_request, fq_map_hash (request_id));
+  fq_gate_run_t *run = fq_map_get (&mesh->gate.runs_by_request, fq_map_hash (request_id));
 
   return run != NULL && strcmp (run->offer.request_id, request_id) == 0 ? run : NULL;
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -361,8 +361,8 @@
   fq_gate_asker_lost (mesh, id);
 }
 
-/* Until clients know that the node leaves, it serves on as entry and as gate. Then what is
- * under way ends; at last the process ends before it would be killed. */
+/* Until clients know that the node leaves, it serves on as entry and as gate. Then what
+ * is under way ends; at last the process ends before it would be killed. */
 static void
 go_on_stopping (fq_mesh_t *mesh)
 {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -88,7 +88,7 @@
   fq_id_t id; /* the shell's name; replies go to it */
   char request_id[FQ_REQUEST_ID_BYTES];
   char host[FQ_HOST_BYTES];
-  uint32_t remaining_ms; /* that the client waits; 0: not stated */
+  uint32_t remaining_ms;               /* that the client waits; 0: not stated */
   char parent_id[FQ_REQUEST_ID_BYTES]; /* of the request for which a server may have sent
                                           it; empty: none is named */
   fq_http_message_t *message;
@@ -201,7 +201,7 @@
       char request_id[FQ_REQUEST_ID_BYTES];
       fq_http_message_t *message; /* counted reference */
     } server_call;
-    fq_id_t run; /* server abort */
+    fq_id_t run;              /* server abort */
     char path[FQ_PATH_BYTES]; /* server probe: where the server tells */
     fq_request_limits_t limits;
     struct
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -86,7 +86,7 @@
   uint32_t max_attempts;
   uint32_t target_latency_ms;
   bool idempotent;
-  bool repeat_of_parent;                /* the work that makes this call is a repeat */
+  bool repeat_of_parent;               /* the work that makes this call is a repeat */
   char parent_id[FQ_REQUEST_ID_BYTES]; /* of the work that makes this call, or empty */
   fq_time_t received;
   fq_time_t deadline;        /* the answer is due */
--- a/src/mesh/pressure.c
+++ b/src/mesh/pressure.c
@@ -4,8 +4,8 @@
 #define FQ_EPOCH_ENDED_MIN 3
 #define FQ_STARVED_SHARE 0.08 /* above which the limit falls */
 #define FQ_CUT_PER_SHARE 0.6  /* the limit falls by this part of the starved share */
-#define FQ_GROWTH 0.1       /* while some starve */
-#define FQ_GROWTH_FREE 0.25 /* while none does */
+#define FQ_GROWTH 0.1         /* while some starve */
+#define FQ_GROWTH_FREE 0.25   /* while none does */
 #define FQ_GROWTH_LEAST 1.0
 #define FQ_LIMIT_LEAST 1.0
 #define FQ_LIMIT_LIFTED 400.0 /* a limit above this is none */
@@ -33,8 +33,7 @@
 static void
 grow (fq_pressure_t *pressure)
 {
-  double growth
-      = pressure->limit * (pressure->starved == 0 ? FQ_GROWTH_FREE : FQ_GROWTH);
+  double growth = pressure->limit * (pressure->starved == 0 ? FQ_GROWTH_FREE : FQ_GROWTH);
 
   if (pressure->limit == 0 || pressure->most + 1 < pressure->limit)
     return;
--- a/src/mesh/pressure.h
+++ b/src/mesh/pressure.h
@@ -20,7 +20,7 @@
   double limit; /* runs at once; 0: none is set */
   fq_time_t epoch_start;
   fq_time_t cut_at; /* runs that started before tell nothing of the limit in force */
-  uint32_t ended; /* runs that ended in the epoch */
+  uint32_t ended;   /* runs that ended in the epoch */
   uint32_t starved;
   uint32_t most; /* runs at once in the epoch, at most */
 } fq_pressure_t;
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -64,7 +64,8 @@
 is_same_start (const fq_gate_t *gate, const fq_server_report_t *report)
 {
   return strcmp (gate->server.instance, report->instance) == 0
-         && (gate->server_started_ms == report->started_ms || gate->server_started_ms == 0);
+         && (gate->server_started_ms == report->started_ms
+             || gate->server_started_ms == 0);
 }
 
 static bool
--- a/src/mesh/waiting.c
+++ b/src/mesh/waiting.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 
 #define FQ_FIRST_GUESS_US (100.0 * FQ_MICROSECONDS_PER_MS) /* before a run has ended */
-#define FQ_MEAN_WEIGHT 0.1                                 /* of the newest run */
+#define FQ_NEW_WORK_SHARE 0.1 /* of the room, before calls of running work */
+#define FQ_MEAN_WEIGHT 0.1    /* of the newest run */
 
 typedef struct
 {
@@ -106,19 +107,41 @@
   fq_list_append (&waiting->ranks[entry->rank], &entry->link);
 }
 
-fq_waiting_entry_t *
-fq_waiting_next (const fq_waiting_t *waiting)
+static fq_waiting_entry_t *
+first_of (const fq_waiting_t *waiting, uint32_t from, uint32_t to)
 {
-  for (int i = 0; i < FQ_RANKS; i++)
+  for (uint32_t i = from; i < to; i++)
     {
       fq_list_t *link = fq_list_first (&waiting->ranks[i]);
 
-      if (link != NULL && has_room (waiting, (uint32_t)i))
+      if (link != NULL && has_room (waiting, i))
         return FQ_LIST_ENTRY (link, fq_waiting_entry_t, link);
     }
   return NULL;
 }
 
+/* Calls of running work go first, but do not take all: work that begins here would else
+ * end for good while services above send as much as they like. */
+static bool
+new_work_has_turn (const fq_waiting_t *waiting)
+{
+  uint32_t in_flight = 0;
+
+  for (uint32_t i = FQ_INNER_RANKS; i < FQ_RANKS; i++)
+    in_flight += waiting->rank_in_flight[i];
+  return in_flight < waiting->limit * FQ_NEW_WORK_SHARE;
+}
+
+fq_waiting_entry_t *
+fq_waiting_next (const fq_waiting_t *waiting)
+{
+  fq_waiting_entry_t *entry = NULL;
+
+  if (new_work_has_turn (waiting))
+    entry = first_of (waiting, FQ_INNER_RANKS, FQ_RANKS);
+  return entry != NULL ? entry : first_of (waiting, 0, FQ_RANKS);
+}
+
 void
 fq_waiting_remove (fq_waiting_t *waiting, fq_waiting_entry_t *entry)
 {
@@ -166,11 +189,8 @@
 
 /* Calls of work that runs are never held back: the work itself was let in too early. */
 void
-fq_waiting_learn (fq_waiting_t *waiting,
-                  fq_time_t now,
-                  fq_time_t started,
-                  uint32_t rank,
-                  bool starved)
+fq_waiting_learn (
+    fq_waiting_t *waiting, fq_time_t now, fq_time_t started, uint32_t rank, bool starved)
 {
   if (rank >= FQ_INNER_RANKS)
     fq_pressure_ended (&waiting->pressure[rank], now, started, starved);
--- a/src/mesh/waiting.h
+++ b/src/mesh/waiting.h
@@ -79,10 +79,7 @@
 void fq_waiting_end (fq_waiting_t *waiting, fq_waiting_entry_t *entry, fq_time_t took);
 
 /** fq_waiting_learn() - a run of @rank ended; @starved: a call of it found no room. */
-void fq_waiting_learn (fq_waiting_t *waiting,
-                       fq_time_t now,
-                       fq_time_t started,
-                       uint32_t rank,
-                       bool starved);
+void fq_waiting_learn (
+    fq_waiting_t *waiting, fq_time_t now, fq_time_t started, uint32_t rank, bool starved);
 
 #endif
