--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -1,6 +1,7 @@
 #define _GNU_SOURCE /* memmem, strcasestr */
 #include "http/reader.h"
 
+#include <ctype.h>
 #include <limits.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,7 @@
 #define FQ_BODIES_PERCENT 90 /* of the memory for bodies, when another one arrives */
 #define FQ_HEAD_END "\r\n\r\n"
 #define FQ_HEAD_END_BYTES 4
+#define FQ_TOKEN_MARKS "!#$%&'*+-.^_`|~"
 
 /* Fields that concern one connection only, or that the next hop's framing replaces. */
 static const char *const hop_fields[] = {
@@ -300,6 +302,18 @@
   return reader->message == NULL;
 }
 
+/* A field name, as RFC 9110 defines it. */
+static bool
+is_token (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if (!isalnum ((unsigned char)text[i]) && strchr (FQ_TOKEN_MARKS, text[i]) == NULL)
+        return false;
+    }
+  return true;
+}
+
 static int
 check_line (fq_http_reader_t *reader, const char *line, size_t size, bool first)
 {
@@ -313,7 +327,7 @@
   colon = memchr (line, ':', size);
   if (line[0] == ' ' || line[0] == '\t')
     return fail (reader, FQ_STATUS_BAD_REQUEST, "a folded field line");
-  if (colon == NULL || colon == line || colon[-1] == ' ' || colon[-1] == '\t')
+  if (colon == NULL || colon == line || !is_token (line, (size_t)(colon - line)))
     return fail (reader, FQ_STATUS_BAD_REQUEST, "a field line without a name");
   return 0;
 }
@@ -357,8 +371,8 @@
 
   if (reader->kind != FQ_HTTP_REQUESTS || reader->message != NULL)
     return 0;
-  while (size - skipped >= 2 && data[skipped] == '\r' && data[skipped + 1] == '\n')
-    skipped += 2;
+  while (skipped < size && (data[skipped] == '\r' || data[skipped] == '\n'))
+    skipped++;
   return skipped;
 }
 
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -153,14 +153,11 @@
   output_is_out (stream);
 }
 
-static void
-before_wait (struct ev_loop *loop, ev_prepare *prepare, int events)
+void
+fq_io_flush (fq_io_t *io)
 {
-  fq_io_t *io = prepare->data;
   fq_list_t *link;
 
-  (void)loop;
-  (void)events;
   while ((link = fq_list_first (&io->dirty)) != NULL)
     {
       fq_stream_t *stream = FQ_LIST_ENTRY (link, fq_stream_t, link);
@@ -169,10 +166,26 @@
       if (!stream->connecting)
         send_output (stream);
     }
+}
+
+static void
+free_closed (fq_io_t *io)
+{
+  fq_list_t *link;
+
   while ((link = fq_list_first (&io->closed)) != NULL)
     free_stream (FQ_LIST_ENTRY (link, fq_stream_t, link));
 }
 
+static void
+before_wait (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  (void)loop;
+  (void)events;
+  fq_io_flush (prepare->data);
+  free_closed (prepare->data);
+}
+
 int
 fq_io_open (fq_io_t *io, struct ev_loop *loop)
 {
@@ -191,10 +204,7 @@
 void
 fq_io_close (fq_io_t *io)
 {
-  fq_list_t *link;
-
-  while ((link = fq_list_first (&io->closed)) != NULL)
-    free_stream (FQ_LIST_ENTRY (link, fq_stream_t, link));
+  free_closed (io);
   ev_prepare_stop (io->loop, &io->prepare);
   free (io->scratch);
   io->scratch = NULL;
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -59,6 +59,9 @@
 /** fq_io_close() - end; all streams have to be closed before. */
 void fq_io_close (fq_io_t *io);
 
+/** fq_io_flush() - send what is waiting to be sent now, and not before the next wait. */
+void fq_io_flush (fq_io_t *io);
+
 /** fq_io_now() - the loop's monotonic time. */
 fq_time_t fq_io_now (const fq_io_t *io);
 
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -26,6 +26,8 @@
 #define FQ_INLINE_BODY_BYTES 16384  /* a larger body goes only to a gate with room */
 #define FQ_RETRY_MIN_LEFT_US                                                             \
   (50 * FQ_MICROSECONDS_PER_MS) /* with less time left another attempt is in vain */
+#define FQ_STOPPING_TAKES_US                                                             \
+  (3 * FQ_MICROSECONDS_PER_SECOND) /* requests that begin later could not end in time */
 #define FQ_RETRY_AFTER_DEFAULT_MS 400
 #define FQ_RETRY_AFTER_MIN_MS 100
 
@@ -292,6 +294,18 @@
   return exchange;
 }
 
+static void
+refuse_early (fq_mesh_t *mesh, const fq_mesh_request_t *request, const char *cause)
+{
+  mesh->metrics.counters[FQ_METRIC_REFUSED]++;
+  fq_mesh_log (mesh, true,
+               "event=request-end id=%s outcome=not-run status=%d cause=%s config=%llu",
+               request->request_id, FQ_STATUS_UNAVAILABLE, cause,
+               (unsigned long long)fq_mesh_config_version (mesh));
+  reply_own (mesh, request->id, FQ_STATUS_UNAVAILABLE,
+             spread_retry_after (mesh, FQ_RETRY_AFTER_DEFAULT_MS), cause);
+}
+
 void
 fq_entry_receive (fq_mesh_t *mesh, const fq_mesh_request_t *request)
 {
@@ -299,15 +313,14 @@
   fq_route_t *route;
 
   mesh->metrics.counters[FQ_METRIC_REQUESTS]++;
+  if (mesh->stopping && mesh->now - mesh->stopping_since > FQ_STOPPING_TAKES_US)
+    {
+      refuse_early (mesh, request, "stopping");
+      return;
+    }
   if (mesh->config == NULL)
     {
-      mesh->metrics.counters[FQ_METRIC_REFUSED]++;
-      fq_mesh_log (mesh, true,
-                   "event=request-end id=%s outcome=not-run status=503 "
-                   "cause=no-config",
-                   request->request_id);
-      reply_own (mesh, request->id, FQ_STATUS_UNAVAILABLE,
-                 spread_retry_after (mesh, FQ_RETRY_AFTER_DEFAULT_MS), "no-config");
+      refuse_early (mesh, request, "no-config");
       return;
     }
   route = fq_config_route (mesh->config, request->host, request->message->target);
@@ -460,6 +473,19 @@
     }
 }
 
+void
+fq_entry_give_up_all (fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  fq_exchange_t *exchange;
+
+  while ((exchange = fq_map_next (&mesh->exchanges, &cursor)) != NULL)
+    {
+      fq_entry_expire (mesh, exchange);
+      cursor = 0;
+    }
+}
+
 /* A gate that never got the request can't have run it. */
 void
 fq_entry_gate_lost (fq_mesh_t *mesh, fq_peer_t *peer)
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -270,9 +270,9 @@
   size_t gates = fq_peer_count_gates (mesh, mesh->gate.server.service);
   double slack = (double)bounds->retry_slack / (double)(gates > 0 ? gates : 1);
 
-  return fq_retry_budget_spend (&mesh->gate.budget, mesh->now,
-                                bounds->retry_ratio * FQ_RETRY_RATIO_SHARE,
-                                slack * FQ_RETRY_SLACK_SHARE);
+  return fq_repeat_budget_spend (&mesh->gate.budget, mesh->now,
+                                 bounds->retry_ratio * FQ_RETRY_RATIO_SHARE,
+                                 slack * FQ_RETRY_SLACK_SHARE);
 }
 
 static fq_refusal_t
@@ -290,7 +290,7 @@
     return cause;
   if (!offer->repeat)
     {
-      fq_retry_budget_first (&mesh->gate.budget, mesh->now);
+      fq_repeat_budget_first (&mesh->gate.budget, mesh->now);
       return FQ_REFUSAL_NONE;
     }
   if (!may_repeat (mesh))
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -381,6 +381,7 @@
       fq_mesh_log (mesh, !idle, "event=stopped exchanges=%zu runs=%zu after_ms=%lld",
                    mesh->exchanges.count, mesh->gate.runs_by_id.count,
                    (long long)(since / FQ_MICROSECONDS_PER_MS));
+      fq_entry_give_up_all (mesh);
       fq_mesh_effect (mesh, FQ_MESH_EFFECT_STOPPED);
       return;
     }
@@ -546,7 +547,7 @@
   gate->timer.kind = FQ_MESH_TIMER_SERVER;
   fq_waiting_init (&gate->waiting);
   fq_list_init (&gate->runs);
-  fq_retry_budget_init (&gate->budget, bounds->retry_window_ms);
+  fq_repeat_budget_init (&gate->budget, bounds->retry_window_ms);
 }
 
 int
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -10,7 +10,7 @@
 #include "mesh/blame.h"
 #include "mesh/mesh.h"
 #include "mesh/metrics.h"
-#include "mesh/retry_budget.h"
+#include "mesh/repeat_budget.h"
 #include "mesh/waiting.h"
 #include "util/list.h"
 #include "util/map.h"
@@ -148,7 +148,7 @@
   fq_map_t runs_by_id;
   fq_map_t runs_by_request; /* those that run; key: hash of the request's id */
   fq_map_t runs_by_attempt; /* key: hash of asker and attempt */
-  fq_retry_budget_t budget;
+  fq_repeat_budget_t budget;
   fq_crash_watch_t crash;
 } fq_gate_t;
 
@@ -207,6 +207,7 @@
 void fq_entry_frame (fq_mesh_t *mesh, fq_peer_t *peer, const fq_frame_t *frame);
 void fq_entry_gate_lost (fq_mesh_t *mesh, fq_peer_t *peer);
 void fq_entry_expire (fq_mesh_t *mesh, fq_exchange_t *exchange);
+void fq_entry_give_up_all (fq_mesh_t *mesh);
 void fq_entry_free_all (fq_mesh_t *mesh);
 
 /* gate.c: runs at our server. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -146,6 +146,7 @@
       retire (node);
       break;
     case FQ_MESH_EFFECT_STOPPED:
+      fq_io_flush (&node->io);
       ev_break (node->io.loop, EVBREAK_ALL);
       break;
     }
--- /dev/null
+++ b/tests/http/test_reader.c
@@ -0,0 +1,270 @@
+/**
+ * DOC: What the HTTP reader takes as one message, and what it refuses.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/reader.h"
+
+#define HEAD_BYTES 512
+#define BODY_BYTES 64
+
+static const fq_http_limits_t limits
+    = { .head_bytes = HEAD_BYTES, .body_bytes = BODY_BYTES };
+
+/* A row: what comes, and either the status it is refused with or what is read of it. */
+typedef struct
+{
+  const char *name;
+  const char *input;
+  uint16_t refused; /* 0: read */
+  const char *target;
+  const char *fields;
+  const char *body; /* NULL: none */
+  const char *rest; /* belongs to the next message */
+} request_row_t;
+
+#define HOST "Host: a\r\n"
+
+static const request_row_t requests[] = {
+  { "plain", "GET /x?y=1 HTTP/1.1\r\n" HOST "X-Own: v\r\n\r\n", 0, "/x?y=1",
+    "Host: a\r\nX-Own: v\r\n", NULL, "" },
+  { "length", "POST / HTTP/1.1\r\n" HOST "Content-Length: 3\r\n\r\nabcGET", 0, "/",
+    "Host: a\r\n", "abc", "GET" },
+  { "chunks",
+    "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+    "2\r\nab\r\n1\r\nc\r\n0\r\n\r\nGET",
+    0, "/", "Host: a\r\n", "abc", "GET" },
+  { "chunks with trailer",
+    "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+    "1\r\na\r\n0\r\nX-Evil: 1\r\n\r\n",
+    0, "/", "Host: a\r\n", "a", "" },
+  { "empty lines before", "\r\n\r\nGET / HTTP/1.1\r\n" HOST "\r\n", 0, "/", "Host: a\r\n",
+    NULL, "" },
+  { "fields of the connection",
+    "GET / HTTP/1.1\r\n" HOST "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+    "Keep-Alive: timeout=5\r\nTE: trailers\r\nUpgrade: h2c\r\nX-End: 1\r\n\r\n",
+    0, "/", "Host: a\r\nX-End: 1\r\n", NULL, "" },
+  { "blank after a value", "GET / HTTP/1.1\r\n" HOST "X-A:  1 \t \r\n\r\n", 0, "/",
+    "Host: a\r\nX-A: 1\r\n", NULL, "" },
+  { "no host", "GET / HTTP/1.1\r\n\r\n", 400 },
+  { "two hosts", "GET / HTTP/1.1\r\n" HOST "Host: b\r\n\r\n", 400 },
+  { "blank before a colon", "GET / HTTP/1.1\r\n" HOST "Content-Length : 3\r\n\r\nabc",
+    400 },
+  { "folded line", "GET / HTTP/1.1\r\n" HOST "X-A: 1\r\n 2\r\n\r\n", 400 },
+  { "fold after the request line", "GET / HTTP/1.1\r\n X: 1\r\n" HOST "\r\n", 400 },
+  { "length and chunks",
+    "POST / HTTP/1.1\r\n" HOST
+    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400 },
+  { "two lengths",
+    "POST / HTTP/1.1\r\n" HOST "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400 },
+  { "length with a sign", "POST / HTTP/1.1\r\n" HOST "Content-Length: +3\r\n\r\nabc",
+    400 },
+  { "coding that is not known",
+    "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501 },
+  { "chunk size that is none",
+    "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n-1\r\nab\r\n", 400 },
+  { "line feed alone", "GET / HTTP/1.1\n" HOST "\n\n", 400 },
+  { "carriage return inside", "GET / HTTP/1.1\r\n" HOST "X-A: 1\r2\r\n\r\n", 400 },
+  { "no field name", "GET / HTTP/1.1\r\n" HOST ": 1\r\n\r\n", 400 },
+  { "blank in a name", "GET / HTTP/1.1\r\n" HOST "X A: 1\r\n\r\n", 400 },
+  { "no method", "NONSENSE / HTTP/1.1\r\n" HOST "\r\n", 400 },
+  { "connect", "CONNECT a:1 HTTP/1.1\r\n" HOST "\r\n", 501 },
+  { "other version", "GET / HTTP/2.0\r\n" HOST "\r\n", 505 },
+  { "large body", "POST / HTTP/1.1\r\n" HOST "Content-Length: 65\r\n\r\n", 413 },
+  { "large chunks",
+    "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+    "41\r\n12345678901234567890123456789012345678901234567890123456789012345\r\n",
+    413 },
+};
+
+static fq_http_progress_t
+feed_in_steps (fq_http_reader_t *reader, const char *input, size_t step, size_t *used)
+{
+  size_t size = strlen (input);
+  fq_http_progress_t progress = FQ_HTTP_MORE;
+
+  *used = 0;
+  while (*used < size && progress == FQ_HTTP_MORE)
+    {
+      size_t left = size - *used;
+      size_t taken;
+
+      progress = fq_http_reader_feed (reader, (const uint8_t *)input + *used,
+                                      left < step ? left : step, &taken);
+      ck_assert (taken > 0 || progress == FQ_HTTP_BAD);
+      *used += taken;
+    }
+  return progress;
+}
+
+static void
+check_message (const request_row_t *row, fq_http_message_t *message)
+{
+  ck_assert_str_eq (message->target, row->target);
+  ck_assert_str_eq (message->fields, row->fields);
+  if (row->body == NULL)
+    {
+      ck_assert_uint_eq (fq_http_message_body_size (message), 0);
+      return;
+    }
+  ck_assert_uint_eq (fq_http_message_body_size (message), strlen (row->body));
+  ck_assert_mem_eq (message->body->data, row->body, strlen (row->body));
+}
+
+/* Whatever pieces a request comes in, it is read or refused alike. */
+START_TEST (test_requests_are_read_or_refused)
+{
+  const request_row_t *row = &requests[_i];
+
+  for (size_t step = 1; step <= strlen (row->input); step++)
+    {
+      fq_http_reader_t reader;
+      fq_http_progress_t progress;
+      size_t used;
+
+      fq_http_reader_init (&reader, FQ_HTTP_REQUESTS, &limits);
+      progress = feed_in_steps (&reader, row->input, step, &used);
+      if (row->refused != 0)
+        {
+          ck_assert_msg (progress == FQ_HTTP_BAD, "%s is not refused", row->name);
+          ck_assert_msg (reader.status == row->refused, "%s: %u", row->name,
+                         reader.status);
+        }
+      else
+        {
+          fq_http_message_t *message;
+
+          ck_assert_msg (progress == FQ_HTTP_WHOLE, "%s: %s", row->name, reader.reason);
+          ck_assert_str_eq (row->input + used, row->rest);
+          message = fq_http_reader_take (&reader);
+          check_message (row, message);
+          fq_http_message_unref (message);
+          ck_assert (fq_http_reader_is_idle (&reader));
+        }
+      fq_http_reader_clear (&reader);
+    }
+}
+END_TEST
+
+START_TEST (test_large_head_is_refused)
+{
+  char input[HEAD_BYTES + 64] = "GET / HTTP/1.1\r\nHost: a\r\nX-Long: ";
+  fq_http_reader_t reader;
+  size_t used;
+
+  memset (input + strlen (input), 'x', sizeof input - 1 - strlen (input));
+  input[sizeof input - 1] = '\0';
+  fq_http_reader_init (&reader, FQ_HTTP_REQUESTS, &limits);
+  ck_assert_int_eq (feed_in_steps (&reader, input, 7, &used), FQ_HTTP_BAD);
+  ck_assert_uint_eq (reader.status, 431);
+  fq_http_reader_clear (&reader);
+}
+END_TEST
+
+START_TEST (test_nul_in_the_target_is_refused)
+{
+  static const uint8_t input[] = "GET /a\0b HTTP/1.1\r\nHost: a\r\n\r\n";
+  fq_http_reader_t reader;
+  size_t used;
+
+  fq_http_reader_init (&reader, FQ_HTTP_REQUESTS, &limits);
+  ck_assert_int_eq (fq_http_reader_feed (&reader, input, sizeof input - 1, &used),
+                    FQ_HTTP_BAD);
+  ck_assert_uint_eq (reader.status, 400);
+  fq_http_reader_clear (&reader);
+}
+END_TEST
+
+/* A row: an answer, and whether it is whole while its connection stands, or once that
+ * has ended cleanly. */
+static const struct
+{
+  const char *name;
+  const char *input;
+  fq_http_progress_t open;
+  fq_http_progress_t ended;
+  const char *body;
+} answers[] = {
+  { "length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", FQ_HTTP_WHOLE,
+    FQ_HTTP_WHOLE, "ab" },
+  { "short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", FQ_HTTP_MORE, FQ_HTTP_BAD,
+    NULL },
+  { "until the end", "HTTP/1.1 200 OK\r\n\r\nab", FQ_HTTP_MORE, FQ_HTTP_WHOLE, "ab" },
+  { "half a head", "HTTP/1.1 200 OK\r\nContent", FQ_HTTP_MORE, FQ_HTTP_BAD, NULL },
+  { "interim first",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+    FQ_HTTP_WHOLE, FQ_HTTP_WHOLE, "a" },
+  { "no content", "HTTP/1.1 204 No Content\r\n\r\n", FQ_HTTP_WHOLE, FQ_HTTP_WHOLE, NULL },
+  { "chunks cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+    FQ_HTTP_MORE, FQ_HTTP_BAD, NULL },
+  { "no answer", "garbage that is none\r\n\r\n", FQ_HTTP_BAD, FQ_HTTP_BAD, NULL },
+};
+
+START_TEST (test_answers_are_whole_or_not)
+{
+  fq_http_reader_t reader;
+  fq_http_progress_t progress;
+  size_t used;
+
+  fq_http_reader_init (&reader, FQ_HTTP_ANSWERS, &limits);
+  progress = feed_in_steps (&reader, answers[_i].input, 5, &used);
+  ck_assert_msg (progress == answers[_i].open, "%s", answers[_i].name);
+  if (progress == FQ_HTTP_MORE)
+    progress = fq_http_reader_end (&reader);
+  ck_assert_msg (progress == answers[_i].ended, "%s", answers[_i].name);
+  if (progress == FQ_HTTP_WHOLE)
+    {
+      fq_http_message_t *message = fq_http_reader_take (&reader);
+      size_t size = answers[_i].body == NULL ? 0 : strlen (answers[_i].body);
+
+      ck_assert_uint_eq (fq_http_message_body_size (message), size);
+      if (size > 0)
+        ck_assert_mem_eq (message->body->data, answers[_i].body, size);
+      fq_http_message_unref (message);
+    }
+  fq_http_reader_clear (&reader);
+}
+END_TEST
+
+START_TEST (test_fields_are_found_dropped_and_added)
+{
+  fq_http_message_t *message = fq_http_message_new ();
+  char value[8];
+
+  fq_http_message_add (message, "A", "1");
+  fq_http_message_add (message, "B", "2");
+  fq_http_message_add (message, "a", "3");
+  ck_assert (fq_http_message_get (message, "b", value, sizeof value));
+  ck_assert_str_eq (value, "2");
+  fq_http_message_drop (message, "A");
+  ck_assert_str_eq (message->fields, "B: 2\r\n");
+  ck_assert (!fq_http_message_get (message, "A", value, sizeof value));
+  ck_assert (!fq_http_message_get (message, "B", value, 1));
+  fq_http_message_unref (message);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("reader");
+  TCase *tcase = tcase_create ("reader");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_loop_test (tcase, test_requests_are_read_or_refused, 0,
+                       sizeof requests / sizeof requests[0]);
+  tcase_add_test (tcase, test_large_head_is_refused);
+  tcase_add_test (tcase, test_nul_in_the_target_is_refused);
+  tcase_add_loop_test (tcase, test_answers_are_whole_or_not, 0,
+                       sizeof answers / sizeof answers[0]);
+  tcase_add_test (tcase, test_fields_are_found_dropped_and_added);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/http/test_sockets.c
@@ -0,0 +1,496 @@
+/**
+ * DOC: The HTTP server and client on real sockets, against raw bytes at the other end.
+ */
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/client.h"
+#include "http/server.h"
+
+#define HEAD_TIMEOUT_MS 150
+#define RECEIVED_MAX 8192
+
+static struct ev_loop *loop;
+static fq_io_t io;
+static struct sockaddr_in address;
+
+static void
+setup (void)
+{
+  loop = ev_loop_new (EVFLAG_AUTO);
+  ck_assert_int_eq (fq_io_open (&io, loop), 0);
+}
+
+static void
+teardown (void)
+{
+  fq_io_flush (&io);
+  ev_run (loop, EVRUN_NOWAIT);
+  fq_io_close (&io);
+  ev_loop_destroy (loop);
+}
+
+static void
+on_time_up (struct ev_loop *running, ev_timer *timer, int events)
+{
+  (void)timer;
+  (void)events;
+  ev_break (running, EVBREAK_ALL);
+}
+
+static void
+run_for (double seconds)
+{
+  ev_timer timer;
+
+  ev_now_update (loop);
+  ev_timer_init (&timer, on_time_up, seconds, 0.);
+  ev_timer_start (loop, &timer);
+  ev_run (loop, 0);
+  ev_timer_stop (loop, &timer);
+}
+
+static void
+choose_port (void)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  socklen_t size = sizeof address;
+
+  address = (struct sockaddr_in){ .sin_family = AF_INET };
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&address, size), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&address, &size), 0);
+  close (fd);
+}
+
+/* The server under test answers each request with its target, or keeps it waiting. */
+static fq_http_server_t *server;
+static char targets[256]; /* of the requests that came, each with a blank after it */
+static size_t body_bytes;
+static fq_id_t waiting;
+static fq_id_t gone;
+
+static void
+on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_http_message_t *answer = fq_http_message_new ();
+
+  (void)context;
+  (void)from;
+  strcat (targets, message->target);
+  strcat (targets, " ");
+  body_bytes += fq_http_message_body_size (message);
+  answer->status = 200;
+  ck_assert_int_eq (
+      fq_blob_new (&answer->body, message->target, strlen (message->target)), 0);
+  if (strcmp (message->target, "/wait") == 0)
+    waiting = id;
+  else
+    fq_http_server_reply (server, id, answer);
+  fq_http_message_unref (answer);
+}
+
+static void
+on_gone (void *context, fq_id_t id)
+{
+  (void)context;
+  gone = id;
+}
+
+static const fq_http_server_handlers_t server_handlers
+    = { .request = on_request, .gone = on_gone };
+
+static void
+open_server (void)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+
+  options.limits.head_bytes = 256;
+  options.head_timeout_ms = HEAD_TIMEOUT_MS;
+  targets[0] = '\0';
+  body_bytes = 0;
+  waiting = 0;
+  gone = 0;
+  choose_port ();
+  ck_assert_int_eq (
+      fq_http_server_open (&server, &io, &address, &options, &server_handlers, NULL), 0);
+}
+
+static int
+connect_client (void)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
+}
+
+/* What came, and whether the connection ended after it. */
+static bool
+receive (int fd, char *received)
+{
+  size_t size = 0;
+  ssize_t count;
+
+  run_for (0.05);
+  while ((count = recv (fd, received + size, RECEIVED_MAX - 1 - size, MSG_DONTWAIT)) > 0)
+    size += (size_t)count;
+  received[size] = '\0';
+  return count == 0;
+}
+
+START_TEST (test_requests_sent_back_to_back_are_answered_in_order)
+{
+  char received[RECEIVED_MAX];
+  int fd;
+  const char *first;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd,
+             "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+             "GET /wait HTTP/1.1\r\nHost: a\r\n\r\nGET /4 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ck_assert (!receive (fd, received));
+  first = strstr (received, "/1");
+  ck_assert_ptr_nonnull (first);
+  ck_assert_ptr_nonnull (strstr (first, "/2"));
+  ck_assert_str_eq (targets, "/1 /2 /wait ");
+  fq_http_server_reply (server, waiting, fq_http_message_new ());
+  ck_assert (!receive (fd, received));
+  ck_assert_ptr_nonnull (strstr (received, "/4"));
+  close (fd);
+  fq_http_server_close (server);
+}
+END_TEST
+
+START_TEST (test_bodies_come_by_length_or_in_chunks)
+{
+  char received[RECEIVED_MAX];
+  int fd;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                 "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  receive (fd, received);
+  send_text (fd, "4\r\nabcd\r\n0\r\n\r\n");
+  ck_assert (!receive (fd, received));
+  ck_assert_uint_eq (body_bytes, 7);
+  close (fd);
+  fq_http_server_close (server);
+}
+END_TEST
+
+/* A row: what a client sends, and the status with which its connection ends. */
+static const struct
+{
+  const char *sent;
+  const char *status;
+} refused[] = {
+  { "GET / HTTP/1.1\r\nHost: a\r\n X: folded\r\n\r\n", "HTTP/1.1 400" },
+  { "GET / HTTP/1.1\r\nHost: a\r\nContent-Length : 1\r\n\r\n", "HTTP/1.1 400" },
+  { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", "HTTP/1.1 413" },
+  { "GET / HTTP/1.1\r\nHost: a\r\nX: 0123456789012345678901234567890123456789012345678901"
+    "234567890123456789012345678901234567890123456789012345678901234567890123456789012345"
+    "678901234567890123456789012345678901234567890123456789012345678901234567890123456789"
+    "0123456789012345678901234567890123456789\r\n\r\n",
+    "HTTP/1.1 431" },
+};
+
+START_TEST (test_bad_request_gets_its_status_and_harms_no_other)
+{
+  char received[RECEIVED_MAX];
+  int bad;
+  int good;
+
+  open_server ();
+  bad = connect_client ();
+  good = connect_client ();
+  send_text (bad, refused[_i].sent);
+  send_text (good, "GET /good HTTP/1.1\r\nHost: a\r\n\r\n");
+  ck_assert (receive (bad, received));
+  ck_assert_int_eq (strncmp (received, refused[_i].status, strlen (refused[_i].status)),
+                    0);
+  ck_assert (!receive (good, received));
+  ck_assert_ptr_nonnull (strstr (received, "/good"));
+  close (bad);
+  close (good);
+  fq_http_server_close (server);
+}
+END_TEST
+
+START_TEST (test_slow_head_gets_408)
+{
+  char received[RECEIVED_MAX];
+  int fd;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd, "GET / HT");
+  run_for (HEAD_TIMEOUT_MS / 2000.0);
+  send_text (fd, "TP/1.1\r\n");
+  run_for (HEAD_TIMEOUT_MS / 1000.0);
+  ck_assert (receive (fd, received));
+  ck_assert_int_eq (strncmp (received, "HTTP/1.1 408", strlen ("HTTP/1.1 408")), 0);
+  close (fd);
+  fq_http_server_close (server);
+}
+END_TEST
+
+START_TEST (test_client_that_leaves_is_told)
+{
+  char received[RECEIVED_MAX];
+  int fd;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  receive (fd, received);
+  ck_assert_uint_ne (waiting, 0);
+  close (fd);
+  run_for (0.05);
+  ck_assert_uint_eq (gone, waiting);
+  /* An answer that comes later goes nowhere. */
+  fq_http_server_reply (server, waiting, fq_http_message_new ());
+  fq_http_server_close (server);
+}
+END_TEST
+
+START_TEST (test_expected_continue_is_sent)
+{
+  char received[RECEIVED_MAX];
+  int fd;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd, "POST /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                 "Content-Length: 1\r\n\r\n");
+  receive (fd, received);
+  ck_assert_int_eq (strncmp (received, "HTTP/1.1 100", strlen ("HTTP/1.1 100")), 0);
+  send_text (fd, "a");
+  receive (fd, received);
+  ck_assert_ptr_nonnull (strstr (received, "/1"));
+  close (fd);
+  fq_http_server_close (server);
+}
+END_TEST
+
+/* The other end of the client under test: a raw connection at a time. */
+static int listening;
+
+static void
+open_raw_server (void)
+{
+  int on = 1;
+
+  choose_port ();
+  listening = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ck_assert_int_eq (bind (listening, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (listening, 8), 0);
+}
+
+static char outcome[64]; /* of the last call: its body, or how it failed */
+
+static bool
+belongs (void *context, const fq_http_message_t *answer)
+{
+  char id[8];
+
+  (void)context;
+  fq_http_message_get (answer, "Id", id, sizeof id);
+  return strcmp (id, "old") != 0;
+}
+
+static void
+on_answered (void *context, fq_http_message_t *answer)
+{
+  (void)context;
+  snprintf (outcome, sizeof outcome, "%.*s", (int)fq_http_message_body_size (answer),
+            answer->body == NULL ? "" : (const char *)answer->body->data);
+}
+
+static void
+on_failed (void *context, fq_http_failure_t failure)
+{
+  static const char *const names[] = { "refused", "lost", "broken", "timeout" };
+
+  (void)context;
+  strcpy (outcome, names[failure]);
+}
+
+static const fq_http_call_handlers_t call_handlers
+    = { .belongs = belongs, .answered = on_answered, .failed = on_failed };
+
+static void
+call (fq_http_client_t *client)
+{
+  fq_http_message_t *request = fq_http_message_new ();
+  fq_http_call_options_t options = { .timeout_ms = 400 };
+  fq_http_call_t *started;
+
+  strcpy (request->method, "GET");
+  request->target = strdup ("/");
+  strcpy (outcome, "none");
+  ck_assert_int_eq (
+      fq_http_client_call (&started, client, request, &options, &call_handlers, NULL), 0);
+  fq_http_message_unref (request);
+  run_for (0.05);
+}
+
+static void
+reset (int fd)
+{
+  struct linger linger = { .l_onoff = 1 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+}
+
+/* A row: what the server sends, how it ends the connection, what the call comes to, and
+ * whether the connection is used again. */
+static const struct
+{
+  const char *name;
+  const char *sent;
+  char end; /* 'k' keeps it, 'c' closes, 'r' resets */
+  const char *outcome;
+  bool again;
+} exchanges[] = {
+  { "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", 'k', "ab", true },
+  { "late answer first",
+    "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 1\r\n\r\nx"
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+    'k', "ab", true },
+  { "bytes after it", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP", 'k', "ab",
+    false },
+  { "connection to be closed",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", 'k', "ab",
+    false },
+  { "kept for a second",
+    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nab", 'k', "ab",
+    false },
+  { "until the end", "HTTP/1.1 200 OK\r\n\r\nab", 'c', "ab", false },
+  { "until a reset", "HTTP/1.1 200 OK\r\n\r\nab", 'r', "broken", false },
+  { "cut short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", 'c', "broken", false },
+  { "no answer", "nonsense\r\n\r\n", 'k', "broken", false },
+  { "closed without a byte", "", 'c', "lost", false },
+  { "reset without a byte", "", 'r', "lost", false },
+  { "silence", "", 'k', "none", false },
+};
+
+START_TEST (test_answer_is_whole_or_the_failure_is_told)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_http_client_t *client;
+  char received[RECEIVED_MAX];
+  int fd;
+
+  open_raw_server ();
+  ck_assert_int_eq (fq_http_client_new (&client, &io, &address, &options), 0);
+  call (client);
+  fd = accept (listening, NULL, NULL);
+  ck_assert (!receive (fd, received));
+  ck_assert_int_eq (strncmp (received, "GET / HTTP/1.1\r\n", 16), 0);
+  if (exchanges[_i].sent[0] != '\0')
+    send_text (fd, exchanges[_i].sent);
+  if (exchanges[_i].end == 'r')
+    {
+      run_for (0.02);
+      reset (fd);
+    }
+  else if (exchanges[_i].end == 'c')
+    shutdown (fd, SHUT_WR);
+  run_for (0.05);
+  ck_assert_msg (strcmp (outcome, exchanges[_i].outcome) == 0, "%s: %s",
+                 exchanges[_i].name, outcome);
+  call (client);
+  if (exchanges[_i].again)
+    {
+      receive (fd, received);
+      ck_assert_int_eq (strncmp (received, "GET /", 5), 0);
+    }
+  else
+    ck_assert_int_ge (accept4 (listening, NULL, NULL, SOCK_NONBLOCK), 0);
+  run_for (0.45);
+  ck_assert_str_eq (outcome, "timeout");
+  fq_http_client_free (client);
+  close (listening);
+}
+END_TEST
+
+START_TEST (test_no_listener_is_a_refusal)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_http_client_t *client;
+
+  choose_port ();
+  ck_assert_int_eq (fq_http_client_new (&client, &io, &address, &options), 0);
+  call (client);
+  ck_assert_str_eq (outcome, "refused");
+  fq_http_client_free (client);
+}
+END_TEST
+
+/* Bytes on a connection that no call uses belong to no request. */
+START_TEST (test_kept_connection_that_speaks_is_not_used)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_http_client_t *client;
+  int fd;
+
+  open_raw_server ();
+  ck_assert_int_eq (fq_http_client_new (&client, &io, &address, &options), 0);
+  call (client);
+  fd = accept (listening, NULL, NULL);
+  send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+  run_for (0.05);
+  send_text (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy");
+  run_for (0.05);
+  call (client);
+  ck_assert_str_eq (outcome, "none");
+  ck_assert_int_ge (accept4 (listening, NULL, NULL, SOCK_NONBLOCK), 0);
+  fq_http_client_free (client);
+  close (listening);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("sockets");
+  TCase *tcase = tcase_create ("sockets");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, test_requests_sent_back_to_back_are_answered_in_order);
+  tcase_add_test (tcase, test_bodies_come_by_length_or_in_chunks);
+  tcase_add_loop_test (tcase, test_bad_request_gets_its_status_and_harms_no_other, 0,
+                       sizeof refused / sizeof refused[0]);
+  tcase_add_test (tcase, test_slow_head_gets_408);
+  tcase_add_test (tcase, test_client_that_leaves_is_told);
+  tcase_add_test (tcase, test_expected_continue_is_sent);
+  tcase_add_loop_test (tcase, test_answer_is_whole_or_the_failure_is_told, 0,
+                       sizeof exchanges / sizeof exchanges[0]);
+  tcase_add_test (tcase, test_no_listener_is_a_refusal);
+  tcase_add_test (tcase, test_kept_connection_that_speaks_is_not_used);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/mesh/mesh_fleet.h
@@ -0,0 +1,548 @@
+/**
+ * DOC: Some nodes in one process and virtual time, for tests of what they decide
+ * together.
+ *
+ * Frames take FLEET_DELAY_US. A node can be down, or silent: then nothing that is sent to
+ * or from it arrives, and no connection is told to end. Servers are played by the test.
+ */
+#ifndef FQ_TESTS_MESH_FLEET_H
+#define FQ_TESTS_MESH_FLEET_H
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/mesh.h"
+#include "util/timers.h"
+
+#define FLEET_NODES 4
+#define FLEET_DELAY_US FQ_MICROSECONDS_PER_MS
+#define FLEET_RUNS_MAX 256
+#define FLEET_REPLIES_MAX 256
+#define FLEET_MAIL_MAX 4096
+
+/** fleet_run_t - a request at a server. */
+typedef struct
+{
+  size_t node;
+  fq_id_t run;
+  char request_id[FQ_REQUEST_ID_BYTES];
+  char caller[FQ_NAME_BYTES];
+  char instance[FQ_INSTANCE_BYTES];
+  uint32_t remaining_ms;
+  fq_time_t started;
+  bool ended; /* answered, failed or aborted */
+  bool aborted;
+} fleet_run_t;
+
+/** fleet_reply_t - what a client got. */
+typedef struct
+{
+  fq_id_t request;
+  uint16_t status;
+  uint32_t retry_after_ms;
+  fq_time_t at;
+} fleet_reply_t;
+
+/** fleet_mail_t - a frame on its way, or the end or begin of a connection. */
+typedef struct
+{
+  fq_time_t due;
+  size_t from;
+  size_t to;
+  bool to_gate;
+  fq_mesh_event_kind_t kind;
+  fq_frame_t frame;
+  unsigned int generation; /* of the sender, which a restart changes */
+} fleet_mail_t;
+
+typedef struct
+{
+  fq_mesh_t *mesh;
+  bool down;
+  bool silent;
+  bool stopped;
+  unsigned int generation;
+  uint64_t sequence;
+} fleet_node_t;
+
+typedef struct
+{
+  fleet_node_t nodes[FLEET_NODES];
+  fq_time_t now;
+  fleet_run_t runs[FLEET_RUNS_MAX];
+  size_t run_count;
+  fleet_reply_t replies[FLEET_REPLIES_MAX];
+  size_t reply_count;
+  fleet_mail_t mail[FLEET_MAIL_MAX];
+  size_t mail_count;
+  fq_config_t *config;
+  fq_id_t next_request;
+} fleet_t;
+
+static inline fq_node_address_t
+fleet_address (size_t node)
+{
+  return 0x0a000001u + (fq_node_address_t)node;
+}
+
+static inline size_t
+fleet_node_of (fq_node_address_t address)
+{
+  return address - 0x0a000001u;
+}
+
+/* A number for the connection of @from to a gate, new after each restart. */
+static inline fq_id_t
+fleet_asker (const fleet_t *fleet, size_t from)
+{
+  return 1000 + from * 100 + fleet->nodes[from].generation;
+}
+
+static inline void
+fleet_post (fleet_t *fleet,
+            size_t from,
+            size_t to,
+            bool to_gate,
+            fq_mesh_event_kind_t kind,
+            const fq_frame_t *frame)
+{
+  fleet_mail_t *mail = &fleet->mail[fleet->mail_count++];
+
+  ck_assert_uint_lt (fleet->mail_count, FLEET_MAIL_MAX);
+  *mail = (fleet_mail_t){
+    .due = fleet->now + FLEET_DELAY_US,
+    .from = from,
+    .to = to,
+    .to_gate = to_gate,
+    .kind = kind,
+    .generation = fleet->nodes[from].generation,
+  };
+  if (frame == NULL)
+    return;
+  mail->frame = *frame;
+  fq_http_message_ref (mail->frame.message);
+  mail->frame.nodes = NULL;
+  mail->frame.fingerprints = NULL;
+  mail->frame.document = NULL;
+  if (frame->node_count > 0)
+    {
+      mail->frame.nodes = malloc (frame->node_count * sizeof *frame->nodes);
+      memcpy (mail->frame.nodes, frame->nodes, frame->node_count * sizeof *frame->nodes);
+    }
+  if (frame->fingerprint_count > 0)
+    {
+      size_t size = frame->fingerprint_count * sizeof *frame->fingerprints;
+
+      mail->frame.fingerprints = malloc (size);
+      memcpy (mail->frame.fingerprints, frame->fingerprints, size);
+    }
+}
+
+static inline void fleet_feed (fleet_t *fleet, size_t node, fq_mesh_event_t *event);
+
+static inline void
+fleet_take_reply (fleet_t *fleet, const fq_mesh_effect_t *effect)
+{
+  fleet_reply_t *reply = &fleet->replies[fleet->reply_count++];
+
+  reply->request = effect->reply.request;
+  reply->status = effect->reply.answer != NULL ? effect->reply.answer->status
+                                               : effect->reply.status;
+  reply->retry_after_ms = effect->reply.retry_after_ms;
+  reply->at = fleet->now;
+}
+
+static inline void
+fleet_take_call (fleet_t *fleet, size_t node, const fq_mesh_effect_t *effect)
+{
+  fleet_run_t *run = &fleet->runs[fleet->run_count++];
+
+  ck_assert_uint_lt (fleet->run_count, FLEET_RUNS_MAX);
+  *run = (fleet_run_t){
+    .node = node,
+    .run = effect->server_call.run,
+    .remaining_ms = effect->server_call.remaining_ms,
+    .started = fleet->now,
+  };
+  strcpy (run->request_id, effect->server_call.request_id);
+  strcpy (run->caller, effect->server_call.caller);
+  strcpy (run->instance, effect->server_call.instance);
+}
+
+static inline void
+fleet_abort (fleet_t *fleet, size_t node, fq_id_t id)
+{
+  for (size_t i = 0; i < fleet->run_count; i++)
+    {
+      if (fleet->runs[i].node == node && fleet->runs[i].run == id)
+        {
+          fleet->runs[i].ended = true;
+          fleet->runs[i].aborted = true;
+        }
+    }
+}
+
+static inline void
+fleet_open_link (fleet_t *fleet, size_t from, size_t to)
+{
+  if (fleet->nodes[to].down)
+    fleet_post (fleet, to, from, false, FQ_MESH_EVENT_LINK_DOWN, NULL);
+  else
+    fleet_post (fleet, to, from, false, FQ_MESH_EVENT_LINK_UP, NULL);
+}
+
+static inline void
+fleet_carry_out (fleet_t *fleet, size_t node, const fq_mesh_effect_t *effect)
+{
+  switch (effect->kind)
+    {
+    case FQ_MESH_EFFECT_REPLY:
+      fleet_take_reply (fleet, effect);
+      break;
+    case FQ_MESH_EFFECT_LINK_OPEN:
+      fleet_open_link (fleet, node, fleet_node_of (effect->node));
+      break;
+    case FQ_MESH_EFFECT_LINK_CLOSE:
+      fleet_post (fleet, node, fleet_node_of (effect->node), true,
+                  FQ_MESH_EVENT_ASKER_DOWN, NULL);
+      break;
+    case FQ_MESH_EFFECT_TO_GATE:
+      fleet_post (fleet, node, fleet_node_of (effect->frame.node), true,
+                  FQ_MESH_EVENT_ASKER_FRAME, effect->frame.frame);
+      break;
+    case FQ_MESH_EFFECT_TO_ASKER:
+      fleet_post (fleet, node, (size_t)(effect->frame.asker - 1000) / 100, false,
+                  FQ_MESH_EVENT_GATE_FRAME, effect->frame.frame);
+      break;
+    case FQ_MESH_EFFECT_SERVER_CALL:
+      fleet_take_call (fleet, node, effect);
+      break;
+    case FQ_MESH_EFFECT_SERVER_ABORT:
+      fleet_abort (fleet, node, effect->run);
+      break;
+    case FQ_MESH_EFFECT_STOPPED:
+      fleet->nodes[node].stopped = true;
+      break;
+    case FQ_MESH_EFFECT_SERVER_FORGET:
+    case FQ_MESH_EFFECT_SERVER_PROBE:
+    case FQ_MESH_EFFECT_LIMITS:
+    case FQ_MESH_EFFECT_FIND_NODES:
+    case FQ_MESH_EFFECT_LOG:
+    case FQ_MESH_EFFECT_RETIRE:
+      break;
+    }
+}
+
+static inline void
+fleet_feed (fleet_t *fleet, size_t node, fq_mesh_event_t *event)
+{
+  fq_mesh_effects_t effects = { 0 };
+
+  if (fleet->nodes[node].down)
+    return;
+  event->now = fleet->now;
+  fq_mesh_reduce (fleet->nodes[node].mesh, event, &effects);
+  for (size_t i = 0; i < effects.count; i++)
+    fleet_carry_out (fleet, node, &effects.items[i]);
+  fq_mesh_effects_free (&effects);
+}
+
+static inline bool
+fleet_is_delivered (const fleet_t *fleet, const fleet_mail_t *mail)
+{
+  const fleet_node_t *from = &fleet->nodes[mail->from];
+  const fleet_node_t *to = &fleet->nodes[mail->to];
+
+  if (mail->kind == FQ_MESH_EVENT_LINK_DOWN)
+    return !to->down;
+  return !to->down && !to->silent && !from->silent
+         && from->generation == mail->generation;
+}
+
+static inline void
+fleet_deliver (fleet_t *fleet, fleet_mail_t *mail)
+{
+  fq_mesh_event_t event = { .kind = mail->kind };
+
+  if (mail->kind == FQ_MESH_EVENT_LINK_UP && !fleet_is_delivered (fleet, mail))
+    mail->kind = event.kind = FQ_MESH_EVENT_LINK_DOWN;
+  if (!fleet_is_delivered (fleet, mail))
+    {
+      fq_frame_clear (&mail->frame);
+      return;
+    }
+  switch (mail->kind)
+    {
+    case FQ_MESH_EVENT_ASKER_DOWN:
+      event.asker = fleet_asker (fleet, mail->from);
+      break;
+    case FQ_MESH_EVENT_LINK_UP:
+    case FQ_MESH_EVENT_LINK_DOWN:
+      event.node = fleet_address (mail->from);
+      break;
+    default:
+      event.frame.frame = &mail->frame;
+      event.frame.node = fleet_address (mail->from);
+      event.frame.asker = fleet_asker (fleet, mail->from);
+      event.frame.asker_address = fleet_address (mail->from);
+      break;
+    }
+  fleet_feed (fleet, mail->to, &event);
+  fq_frame_clear (&mail->frame);
+}
+
+/* The next thing to happen, or FQ_TIMERS_NEVER. */
+static inline fq_time_t
+fleet_next (const fleet_t *fleet)
+{
+  fq_time_t next = FQ_TIMERS_NEVER;
+
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    {
+      if (!fleet->nodes[i].down && fq_mesh_next_timer (fleet->nodes[i].mesh) < next)
+        next = fq_mesh_next_timer (fleet->nodes[i].mesh);
+    }
+  for (size_t i = 0; i < fleet->mail_count; i++)
+    {
+      if (fleet->mail[i].due < next)
+        next = fleet->mail[i].due;
+    }
+  return next;
+}
+
+static inline void
+fleet_do_due (fleet_t *fleet)
+{
+  for (size_t i = 0; i < fleet->mail_count;)
+    {
+      fleet_mail_t mail = fleet->mail[i];
+
+      if (mail.due > fleet->now)
+        {
+          i++;
+          continue;
+        }
+      memmove (&fleet->mail[i], &fleet->mail[i + 1],
+               (--fleet->mail_count - i) * sizeof mail);
+      fleet_deliver (fleet, &mail);
+    }
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    {
+      fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_TIMER };
+
+      if (!fleet->nodes[i].down
+          && fq_mesh_next_timer (fleet->nodes[i].mesh) <= fleet->now)
+        fleet_feed (fleet, i, &event);
+    }
+}
+
+/** fleet_pass() - let time pass. */
+static inline void
+fleet_pass (fleet_t *fleet, uint32_t ms)
+{
+  fq_time_t until = fleet->now + (fq_time_t)ms * FQ_MICROSECONDS_PER_MS;
+
+  for (;;)
+    {
+      fq_time_t next = fleet_next (fleet);
+
+      if (next > until)
+        break;
+      if (next > fleet->now)
+        fleet->now = next;
+      fleet_do_due (fleet);
+    }
+  fleet->now = until;
+}
+
+/** fleet_report() - the server of @node says that it is well, or drains. */
+static inline void
+fleet_report (
+    fleet_t *fleet, size_t node, const char *instance, uint64_t started, bool draining)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REPORT };
+
+  strcpy (event.report.instance, instance);
+  strcpy (event.report.service, node == 0 ? "front" : "back");
+  event.report.started_ms = started;
+  event.report.sequence = ++fleet->nodes[node].sequence;
+  event.report.slots = 10;
+  event.report.draining = draining;
+  fleet_feed (fleet, node, &event);
+}
+
+/** fleet_start() - a node comes up, knows all others, and has the configuration. */
+static inline void
+fleet_start (fleet_t *fleet, size_t node)
+{
+  fq_mesh_options_t options = FQ_MESH_OPTIONS_INIT;
+  fq_node_address_t addresses[FLEET_NODES];
+  fq_mesh_event_t nodes = { .kind = FQ_MESH_EVENT_NODES };
+  fq_mesh_event_t config = { .kind = FQ_MESH_EVENT_CONFIG, .config = fleet->config };
+
+  options.address = fleet_address (node);
+  options.zone = "z";
+  options.service = node == 0 ? "front" : "back";
+  options.seed = node + 1;
+  fleet->nodes[node].down = false;
+  fleet->nodes[node].generation++;
+  ck_assert_int_eq (fq_mesh_new (&fleet->nodes[node].mesh, &options, fleet->now), 0);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    addresses[i] = fleet_address (i);
+  nodes.nodes.addresses = addresses;
+  nodes.nodes.count = FLEET_NODES;
+  fleet_feed (fleet, node, &nodes);
+  if (fleet->config != NULL)
+    fleet_feed (fleet, node, &config);
+}
+
+/** fleet_kill() - the process of @node ends at once; its connections are seen to end. */
+static inline void
+fleet_kill (fleet_t *fleet, size_t node)
+{
+  fq_mesh_free (fleet->nodes[node].mesh);
+  fleet->nodes[node].mesh = NULL;
+  fleet->nodes[node].down = true;
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    {
+      fq_mesh_event_t down = { .kind = FQ_MESH_EVENT_LINK_DOWN };
+      fq_mesh_event_t gone = { .kind = FQ_MESH_EVENT_ASKER_DOWN };
+
+      if (i == node)
+        continue;
+      down.node = fleet_address (node);
+      gone.asker = fleet_asker (fleet, node);
+      fleet_feed (fleet, i, &down);
+      fleet_feed (fleet, i, &gone);
+    }
+}
+
+static inline fq_config_t *
+fleet_config (uint64_t version, uint32_t timeout_ms)
+{
+  fq_config_t *config = fq_config_new ();
+  fq_virtual_host_t *host;
+  static const char *const prefixes[] = { "/safe/", "/once/" };
+
+  config->version = version;
+  config->hosts = calloc (1, sizeof *config->hosts);
+  config->host_count = 1;
+  host = &config->hosts[0];
+  strcpy (host->host, "h");
+  host->routes = calloc (2, sizeof *host->routes);
+  host->route_count = 2;
+  for (size_t i = 0; i < 2; i++)
+    {
+      fq_route_t *route = &host->routes[i];
+
+      strcpy (route->name, prefixes[i] + 1);
+      route->prefix = strdup (prefixes[i]);
+      route->idempotent = i == 0;
+      route->timeout_ms = timeout_ms;
+      route->target_latency_ms = timeout_ms;
+      route->max_attempts = 2;
+      route->targets = calloc (1, sizeof *route->targets);
+      route->target_count = 1;
+      strcpy (route->targets[0].service, "back");
+      route->targets[0].weight = 1;
+    }
+  fq_config_finish (config);
+  return config;
+}
+
+/** fleet_setup() - all nodes are up; node 0 has a server of "front", the others "back".
+ */
+static inline void
+fleet_setup (fleet_t *fleet)
+{
+  memset (fleet, 0, sizeof *fleet);
+  fleet->now = FQ_MICROSECONDS_PER_SECOND;
+  fleet->config = fleet_config (1, 2000);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    fleet->nodes[i].down = true;
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    fleet_start (fleet, i);
+  fleet_pass (fleet, 500);
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    fleet_report (fleet, i, "i-1", 1000, false);
+  fleet_pass (fleet, 100);
+}
+
+static inline void
+fleet_teardown (fleet_t *fleet)
+{
+  for (size_t i = 0; i < FLEET_NODES; i++)
+    fq_mesh_free (fleet->nodes[i].mesh);
+  for (size_t i = 0; i < fleet->mail_count; i++)
+    fq_frame_clear (&fleet->mail[i].frame);
+  fq_config_unref (fleet->config);
+}
+
+/** fleet_ask() - a client of @node sends a request; its number. */
+static inline fq_id_t
+fleet_ask (fleet_t *fleet,
+           size_t node,
+           const char *target,
+           const char *request_id,
+           const char *parent)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
+  fq_http_message_t *message = fq_http_message_new ();
+
+  strcpy (message->method, strncmp (target, "/safe", 5) == 0 ? "GET" : "POST");
+  message->target = strdup (target);
+  event.request.id = ++fleet->next_request;
+  strcpy (event.request.request_id, request_id);
+  strcpy (event.request.parent_id, parent);
+  strcpy (event.request.host, "h");
+  event.request.remaining_ms = 5000;
+  event.request.message = message;
+  fleet_feed (fleet, node, &event);
+  fq_http_message_unref (message);
+  return event.request.id;
+}
+
+/** fleet_answer() - the server answers @run. */
+static inline void
+fleet_answer (fleet_t *fleet,
+              fleet_run_t *run,
+              fq_server_verdict_t verdict,
+              uint16_t status)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_SERVER_ANSWER };
+
+  run->ended = true;
+  event.server_answer.run = run->run;
+  event.server_answer.verdict = verdict;
+  event.server_answer.answer = fq_http_message_new ();
+  event.server_answer.answer->status = status;
+  fleet_feed (fleet, run->node, &event);
+  fq_http_message_unref (event.server_answer.answer);
+}
+
+/** fleet_fail() - the server gives no answer to @run. */
+static inline void
+fleet_fail (fleet_t *fleet, fleet_run_t *run, fq_server_failure_t failure)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_SERVER_FAILED };
+
+  run->ended = true;
+  event.server_failed.run = run->run;
+  event.server_failed.failure = failure;
+  fleet_feed (fleet, run->node, &event);
+}
+
+/** fleet_reply_to() - what the client of @request got; NULL: nothing yet. */
+static inline const fleet_reply_t *
+fleet_reply_to (const fleet_t *fleet, fq_id_t request)
+{
+  for (size_t i = 0; i < fleet->reply_count; i++)
+    {
+      if (fleet->replies[i].request == request)
+        return &fleet->replies[i];
+    }
+  return NULL;
+}
+
+#endif
--- /dev/null
+++ b/tests/platform/test_platform.c
@@ -0,0 +1,305 @@
+/**
+ * DOC: What the platform's documents, calls and fields are read as, and what is refused.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config_document.h"
+#include "exchange.h"
+#include "filbertquay/errors.h"
+#include "server_report.h"
+#include "store_calls.h"
+
+#define SERVICES                                                                         \
+  "\"services\":[{\"name\":\"a\",\"health_path\":\"/h\",\"max_connections\":5},"         \
+  "{\"name\":\"b\",\"health_path\":\"/h\",\"max_connections\":5}]"
+#define LIMITS                                                                           \
+  "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"                         \
+  "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15s\"}"
+#define ROUTE(rest)                                                                      \
+  "\"virtual_hosts\":[{\"host\":\"h\",\"paths\":[{\"name\":\"r\",\"prefix\":\"/p/\","    \
+  "\"target_latency\":\"1500ms\",\"priority\":2," rest "}]}]"
+#define GOOD_ROUTE                                                                       \
+  ROUTE (                                                                                \
+      "\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":2,\"service\":\"a\"")
+
+static const char good[]
+    = "{\"version\":7,\"new_field\":1," SERVICES "," LIMITS "," GOOD_ROUTE "}";
+
+START_TEST (test_config_is_read)
+{
+  fq_config_t *config;
+  const fq_route_t *route;
+
+  ck_assert_int_eq (fq_platform_read_config (&config, good, strlen (good)), 0);
+  ck_assert_uint_eq (config->version, 7);
+  ck_assert_uint_eq (config->limits.head_bytes, 100);
+  ck_assert_uint_eq (config->limits.idle_timeout_ms, 15000);
+  route = fq_config_route (config, "h", "/p/x");
+  ck_assert_ptr_nonnull (route);
+  ck_assert (route->idempotent);
+  ck_assert_uint_eq (route->timeout_ms, 1000);
+  ck_assert_uint_eq (route->target_latency_ms, 1500);
+  ck_assert_uint_eq (route->priority, 2);
+  ck_assert_uint_eq (config->document_size, strlen (good));
+  fq_config_unref (config);
+}
+END_TEST
+
+static const char *const bad_configs[] = {
+  "",
+  "{\"version\":7," SERVICES "," LIMITS ",\"virtual_hosts\":[{\"host\":\"h\"",
+  "[]",
+  "{" SERVICES "," LIMITS "," GOOD_ROUTE "}",
+  "{\"version\":\"7\"," SERVICES "," LIMITS "," GOOD_ROUTE "}",
+  "{\"version\":7," LIMITS "," GOOD_ROUTE "}",
+  "{\"version\":7," SERVICES "," GOOD_ROUTE "}",
+  "{\"version\":7," SERVICES "," LIMITS "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":2,"
+             "\"service\":\"unknown\"") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"odd\",\"timeout\":\"1s\",\"max_attempts\":2,\"service\":"
+             "\"a\"") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":0,\"service\":"
+             "\"a\"") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":\"1s\",\"service\":\"a\"") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":1000,\"max_attempts\":2,\"service\":"
+             "\"a\"") "}",
+  "{\"version\":7," SERVICES "," LIMITS "," ROUTE (
+      "\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":2,"
+      "\"traffic_split\":[{\"service\":\"a\"},{\"service\":\"b\",\"weight\":1}]") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":2,"
+             "\"traffic_split\":[{\"service\":\"a\",\"weight\":0}]") "}",
+  "{\"version\":7," SERVICES "," LIMITS
+  "," ROUTE ("\"route_type\":\"safe\",\"timeout\":\"1s\",\"max_attempts\":2,"
+             "\"traffic_split\":[]") "}",
+  "{\"version\":7," SERVICES "," LIMITS ",\"virtual_hosts\":[{\"host\":\"h\",\"paths\":["
+  "{\"name\":\"r\",\"prefix\":\"/p/\",\"route_type\":\"safe\",\"timeout\":\"1s\","
+  "\"max_attempts\":2,\"service\":\"a\"},"
+  "{\"name\":\"s\",\"prefix\":\"/p/\",\"route_type\":\"safe\",\"timeout\":\"1s\","
+  "\"max_attempts\":2,\"service\":\"a\"}]}]}",
+};
+
+START_TEST (test_bad_config_is_refused_whole)
+{
+  fq_config_t *config = NULL;
+
+  ck_assert_int_lt (
+      fq_platform_read_config (&config, bad_configs[_i], strlen (bad_configs[_i])), 0);
+  ck_assert_ptr_null (config);
+}
+END_TEST
+
+static fq_http_message_t *
+new_request (const char *target, const char *body)
+{
+  fq_http_message_t *message = fq_http_message_new ();
+
+  strcpy (message->method, "POST");
+  message->target = strdup (target);
+  if (body != NULL)
+    ck_assert_int_eq (fq_blob_new (&message->body, body, strlen (body)), 0);
+  return message;
+}
+
+#define INFO "\"info\":{\"service\":\"a\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":4}"
+#define STATUS "\"status\":{\"state\":\"ready\",\"sequence\":4,\"warmup_left\":\"10ms\"}"
+#define ADDRESS "\"address\":\"10.0.0.1:80\""
+#define REPORT "/v1/Instances.Heartbeat/i-1"
+#define LEAVE "/v1/Instances.Deregister/i-1"
+
+/* A row: a call, and what it is read as. */
+static const struct
+{
+  const char *target;
+  const char *body;
+  int result;
+  fq_platform_saying_t saying;
+  uint64_t started_ms;
+  bool draining;
+} reports[] = {
+  { REPORT, "{\"born\":99," ADDRESS "," INFO "," STATUS "}", 0, FQ_PLATFORM_REPORT, 99 },
+  { REPORT, "{\"more\":[]," ADDRESS "," INFO "," STATUS "}", 0, FQ_PLATFORM_REPORT, 0 },
+  { REPORT, "{" ADDRESS "," INFO ",\"status\":{\"state\":\"draining\",\"sequence\":4}}",
+    0, FQ_PLATFORM_REPORT, 0, true },
+  { LEAVE, NULL, 0, FQ_PLATFORM_LEAVE, 0 },
+  { LEAVE, "{\"born\":99}", 0, FQ_PLATFORM_LEAVE, 99 },
+  { "/v1/Instances.Other/i-1", "{}", FQ_ERROR_NOTFOUND },
+  { "/v1/Instances.Heartbeat/", "{" ADDRESS "," INFO "," STATUS "}", FQ_ERROR_INVALID },
+  { REPORT, NULL, FQ_ERROR_INVALID },
+  { REPORT, "\x01\x02", FQ_ERROR_INVALID },
+  { REPORT, "{" INFO "," STATUS "}", FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS "," STATUS "}", FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS "," INFO "}", FQ_ERROR_INVALID },
+  { REPORT, "{\"born\":9.5," ADDRESS "," INFO "," STATUS "}", FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS "," INFO ",\"status\":{\"state\":\"odd\",\"sequence\":4}}",
+    FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS "," INFO ",\"status\":{\"state\":\"ready\",\"sequence\":\"4\"}}",
+    FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS ",\"info\":{\"service\":\"a\",\"slots\":0}," STATUS "}",
+    FQ_ERROR_INVALID },
+  { REPORT, "{" ADDRESS ",\"info\":{\"service\":7,\"slots\":4}," STATUS "}",
+    FQ_ERROR_INVALID },
+};
+
+START_TEST (test_report_is_read_or_names_no_server)
+{
+  fq_http_message_t *message = new_request (reports[_i].target, reports[_i].body);
+  fq_platform_saying_t saying;
+  fq_server_report_t report;
+  char address[FQ_ADDRESS_BYTES];
+
+  ck_assert_int_eq (fq_platform_read_report (&saying, &report, address, message),
+                    reports[_i].result);
+  if (reports[_i].result == 0)
+    {
+      ck_assert_int_eq (saying, reports[_i].saying);
+      ck_assert_str_eq (report.instance, "i-1");
+      ck_assert_uint_eq (report.started_ms, reports[_i].started_ms);
+      ck_assert_int_eq (report.draining, reports[_i].draining);
+    }
+  fq_http_message_unref (message);
+}
+END_TEST
+
+START_TEST (test_request_fields_are_decoded_once)
+{
+  fq_http_message_t *message = new_request ("/p/x", "b");
+  fq_mesh_request_t request = { 0 };
+  fq_http_message_t *sent;
+
+  fq_http_message_add (message, "Host", "h");
+  fq_http_message_add (message, "X-Attempt-Id", "one.two");
+  fq_http_message_add (message, "X-Timeout-Ms", "1200");
+  fq_http_message_add (message, "X-Caller-Service", "forged");
+  fq_http_message_add (message, "X-Target-Instance", "forged");
+  fq_http_message_add (message, "X-Own", "kept");
+  fq_platform_read_request (message, &request);
+  ck_assert_str_eq (request.request_id, "one.two");
+  ck_assert_str_eq (request.parent_id, "one");
+  ck_assert_str_eq (request.host, "h");
+  ck_assert_uint_eq (request.remaining_ms, 1200);
+  sent = fq_platform_request_for_server (message, 900, "i-1", "mine");
+  ck_assert_str_eq (sent->fields, "Host: h\r\nX-Attempt-Id: one.two\r\nX-Own: kept\r\n"
+                                  "X-Timeout-Ms: 900\r\nX-Target-Instance: i-1\r\n"
+                                  "X-Caller-Service: mine\r\n");
+  ck_assert_ptr_eq (sent->body, message->body);
+  fq_http_message_unref (sent);
+  fq_http_message_unref (message);
+}
+END_TEST
+
+/* A row: an answer to the request "r1". */
+static const struct
+{
+  uint16_t status;
+  const char *fields;
+  bool belongs;
+  fq_server_verdict_t verdict;
+} answers[] = {
+  { 200, "X-Attempt-Id: r1\r\nX-Response-Signature: s\r\n", true, FQ_SERVER_ANSWERED },
+  { 500, "X-Attempt-Id: r1\r\n", true, FQ_SERVER_ANSWERED },
+  { 200, "X-Attempt-Id: r0\r\nX-Response-Signature: s\r\n", false, FQ_SERVER_ANSWERED },
+  { 200, "X-Attempt-Id: r1\r\n", true, FQ_SERVER_ANSWER_INVALID },
+  { 200, "X-Response-Signature: s\r\n", true, FQ_SERVER_ANSWER_INVALID },
+  { 200, "X-Attempt-Id: r1\r\nX-Response-Signature: s\r\nContent-Encoding: gzip\r\n",
+    true, FQ_SERVER_ANSWER_INVALID },
+  { 503, "X-Not-Executed: 1\r\n", true, FQ_SERVER_DID_NOT_RUN },
+  { 429, "X-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n", true, FQ_SERVER_DID_NOT_RUN },
+  { 503, "X-Attempt-Id: r1\r\n", true, FQ_SERVER_ANSWERED },
+  { 421, "X-Instance-Id: i-2\r\n", true, FQ_SERVER_IS_ANOTHER },
+};
+
+START_TEST (test_answer_is_judged)
+{
+  fq_http_message_t *answer = fq_http_message_new ();
+
+  answer->status = answers[_i].status;
+  free (answer->fields);
+  answer->fields = strdup (answers[_i].fields);
+  ck_assert_int_eq (fq_platform_belongs (answer, "r1"), answers[_i].belongs);
+  ck_assert_int_eq (fq_platform_judge (answer), answers[_i].verdict);
+  fq_http_message_unref (answer);
+}
+END_TEST
+
+START_TEST (test_refusal_tells_when_to_come_back)
+{
+  fq_http_message_t *answer = fq_platform_own_answer (503, 1250, "no-room");
+  char value[16];
+
+  ck_assert (fq_http_message_get (answer, "Retry-After", value, sizeof value));
+  ck_assert_str_eq (value, "1.250");
+  fq_http_message_unref (answer);
+}
+END_TEST
+
+START_TEST (test_rows_are_read)
+{
+  static const char body[]
+      = "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"YWI="
+        "\","
+        "\"ver\":3},{\"key\":5},{\"key\":\"gone\",\"ver\":4,\"deleted\":true}],"
+        "\"has_more\":false,\"ver\":9,\"now\":\"5ms\"}";
+  fq_http_message_t *answer = fq_http_message_new ();
+  fq_platform_rows_t rows;
+
+  answer->status = 200;
+  ck_assert_int_eq (fq_blob_new (&answer->body, body, strlen (body)), 0);
+  ck_assert_int_eq (fq_platform_rows_of (&rows, answer), 0);
+  ck_assert_uint_eq (rows.count, 2);
+  ck_assert_uint_eq (rows.version, 9);
+  ck_assert_uint_eq (rows.rows[0].value->size, 2);
+  ck_assert (rows.rows[1].removed);
+  fq_platform_rows_clear (&rows);
+  answer->status = 503;
+  ck_assert_int_lt (fq_platform_rows_of (&rows, answer), 0);
+  fq_http_message_unref (answer);
+}
+END_TEST
+
+START_TEST (test_broken_rows_are_an_error_and_not_an_empty_list)
+{
+  static const char *const bodies[] = { "", "{", "{}", "{\"rows\":{}}", "{\"rows\":[]}" };
+  fq_http_message_t *answer = fq_http_message_new ();
+  fq_platform_rows_t rows;
+
+  answer->status = 200;
+  ck_assert_int_eq (fq_blob_new (&answer->body, bodies[_i], strlen (bodies[_i])), 0);
+  ck_assert_int_lt (fq_platform_rows_of (&rows, answer), 0);
+  fq_http_message_unref (answer);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("platform");
+  TCase *tcase = tcase_create ("platform");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, test_config_is_read);
+  tcase_add_loop_test (tcase, test_bad_config_is_refused_whole, 0,
+                       sizeof bad_configs / sizeof bad_configs[0]);
+  tcase_add_loop_test (tcase, test_report_is_read_or_names_no_server, 0,
+                       sizeof reports / sizeof reports[0]);
+  tcase_add_test (tcase, test_request_fields_are_decoded_once);
+  tcase_add_loop_test (tcase, test_answer_is_judged, 0,
+                       sizeof answers / sizeof answers[0]);
+  tcase_add_test (tcase, test_refusal_tells_when_to_come_back);
+  tcase_add_test (tcase, test_rows_are_read);
+  tcase_add_loop_test (tcase, test_broken_rows_are_an_error_and_not_an_empty_list, 0, 5);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
