--- /dev/null
+++ b/standins/server.c
@@ -0,0 +1,223 @@
+/**
+ * DOC: A stand-in for an application server of the users' platform: it reports to the
+ * node on its machine, and answers each request after a time.
+ *
+ * usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS. For each request that it
+ * runs it writes "run REQUEST_ID CALLER" to standard output. SIGTERM makes it drain.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <ev.h>
+
+#include "filbertquay/errors.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "util/text.h"
+
+#define REPORT_SECONDS 0.5
+#define SLOTS 20
+#define FIELD_BYTES 128
+#define STATUS_OK 200
+#define STATUS_WRONG_INSTANCE 421
+
+typedef struct
+{
+  ev_timer timer;
+  fq_id_t id;
+  fq_http_message_t *answer;
+} work_t;
+
+static struct ev_loop *loop;
+static fq_io_t io;
+static fq_http_server_t *server;
+static fq_http_client_t *reports;
+static const char *address_text;
+static const char *service;
+static const char *instance;
+static double work_seconds;
+static long long born_ms;
+static unsigned int sequence;
+static bool draining;
+
+static void
+on_done (struct ev_loop *running, ev_timer *timer, int events)
+{
+  work_t *work = timer->data;
+
+  (void)running;
+  (void)events;
+  fq_http_server_reply (server, work->id, work->answer);
+  fq_http_message_unref (work->answer);
+  free (work);
+}
+
+static void
+begin_work (fq_id_t id, const fq_http_message_t *message, const char *request_id)
+{
+  work_t *work = calloc (1, sizeof *work);
+  char caller[FIELD_BYTES];
+
+  if (work == NULL)
+    abort ();
+  fq_http_message_get (message, "X-Caller-Service", caller, sizeof caller);
+  printf ("run %s %s\n", request_id, caller);
+  fflush (stdout);
+  work->id = id;
+  work->answer = fq_http_message_new ();
+  work->answer->status = STATUS_OK;
+  fq_http_message_add (work->answer, "X-Attempt-Id", request_id);
+  fq_http_message_add (work->answer, "X-Response-Signature", "signed");
+  if (fq_blob_new (&work->answer->body, instance, strlen (instance)) < 0)
+    abort ();
+  ev_timer_init (&work->timer, on_done, work_seconds, 0.);
+  work->timer.data = work;
+  ev_timer_start (loop, &work->timer);
+}
+
+static void
+answer_at_once (fq_id_t id, uint16_t status)
+{
+  fq_http_message_t *answer = fq_http_message_new ();
+
+  answer->status = status;
+  fq_http_message_add (answer, "X-Instance-Id", instance);
+  fq_http_server_reply (server, id, answer);
+  fq_http_message_unref (answer);
+}
+
+static void
+on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  char request_id[FIELD_BYTES];
+  char wanted[FIELD_BYTES];
+
+  (void)context;
+  (void)from;
+  if (strcmp (message->target, "/health") == 0)
+    {
+      answer_at_once (id, draining ? 503 : STATUS_OK);
+      return;
+    }
+  if (fq_http_message_get (message, "X-Target-Instance", wanted, sizeof wanted)
+      && strcmp (wanted, instance) != 0)
+    {
+      answer_at_once (id, STATUS_WRONG_INSTANCE);
+      return;
+    }
+  fq_http_message_get (message, "X-Attempt-Id", request_id, sizeof request_id);
+  begin_work (id, message, request_id);
+}
+
+static const fq_http_server_handlers_t handlers = { .request = on_request };
+
+static void
+on_report_answered (void *context, fq_http_message_t *answer)
+{
+  (void)context;
+  if (answer->status != STATUS_OK)
+    fprintf (stderr, "report refused: %u\n", answer->status);
+}
+
+static void
+on_report_failed (void *context, fq_http_failure_t failure)
+{
+  (void)context;
+  (void)failure;
+}
+
+static const fq_http_call_handlers_t report_handlers
+    = { .answered = on_report_answered, .failed = on_report_failed };
+
+static void
+report (void)
+{
+  fq_http_message_t *request = fq_http_message_new ();
+  fq_http_call_options_t options = { .timeout_ms = 1000 };
+  fq_buffer_t body = { 0 };
+  fq_buffer_t target = { 0 };
+  fq_http_call_t *call;
+
+  fq_buffer_printf (&target, "/v1/Instances.Heartbeat/%s", instance);
+  fq_buffer_add (&target, "", 1);
+  fq_buffer_printf (
+      &body,
+      "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":\"%s\",\"version\":\"v1\","
+      "\"zone\":\"z\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,"
+      "\"warmup_left\":\"0ms\"}}",
+      address_text, born_ms, service, SLOTS, draining ? "draining" : "ready", ++sequence);
+  strcpy (request->method, "POST");
+  request->target = strdup ((const char *)fq_buffer_bytes (&target));
+  fq_http_message_add (request, "Host", "node");
+  fq_http_message_add (request, "Content-Type", "application/json");
+  if (fq_blob_new (&request->body, fq_buffer_bytes (&body), fq_buffer_size (&body)) < 0
+      || fq_http_client_call (&call, reports, request, &options, &report_handlers, NULL)
+             < 0)
+    fprintf (stderr, "report not sent: %s\n", fq_error_last ()->message);
+  fq_http_message_unref (request);
+  fq_buffer_clear (&body);
+  fq_buffer_clear (&target);
+}
+
+static void
+on_tick (struct ev_loop *running, ev_timer *timer, int events)
+{
+  (void)running;
+  (void)timer;
+  (void)events;
+  report ();
+}
+
+static void
+on_drain (struct ev_loop *running, ev_signal *signal_watcher, int events)
+{
+  (void)running;
+  (void)signal_watcher;
+  (void)events;
+  draining = true;
+  report ();
+}
+
+int
+main (int argc, char **argv)
+{
+  fq_http_server_options_t server_options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  fq_http_client_options_t client_options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  struct sockaddr_in address;
+  struct sockaddr_in reports_address;
+  struct timespec now;
+  ev_timer tick;
+  ev_signal drain;
+
+  if (argc != 6 || fq_address_parse (&address, argv[1]) < 0
+      || fq_address_parse (&reports_address, argv[2]) < 0)
+    {
+      fprintf (stderr, "usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS\n");
+      return EXIT_FAILURE;
+    }
+  address_text = argv[1];
+  service = argv[3];
+  instance = argv[4];
+  work_seconds = strtod (argv[5], NULL) / 1000;
+  clock_gettime (CLOCK_REALTIME, &now);
+  born_ms = (long long)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+  loop = ev_default_loop (0);
+  server_options.limits.body_bytes = 1 << 26;
+  if (fq_io_open (&io, loop) < 0
+      || fq_http_server_open (&server, &io, &address, &server_options, &handlers, NULL)
+             < 0
+      || fq_http_client_new (&reports, &io, &reports_address, &client_options) < 0)
+    {
+      fprintf (stderr, "fq-standin-server: %s\n", fq_error_last ()->message);
+      return EXIT_FAILURE;
+    }
+  ev_timer_init (&tick, on_tick, 0., REPORT_SECONDS);
+  ev_timer_start (loop, &tick);
+  ev_signal_init (&drain, on_drain, SIGTERM);
+  ev_signal_start (loop, &drain);
+  ev_run (loop, 0);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/process/node_lib.sh
@@ -0,0 +1,91 @@
+# Starts filbertquay-node, its servers and the stand-in store on loopback addresses of
+# their own, all with the same ports, as the platform does.
+# shellcheck shell=bash
+# shellcheck source-path=SCRIPTDIR
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+
+# Tests that run side by side have blocks of ports of their own; the addresses may be shared.
+ip () { echo "127.0.0.$((10 + $1))"; }
+requests_port=$((base + 1))
+ready_port=$((base + 2))
+reports_port=$((base + 3))
+nodes_port=$((base + 4))
+server_port=$((base + 5))
+metrics_port=$((base + 6))
+store=127.0.0.10:$((base + 7))
+
+start_store ()
+{
+  start store "$build/fq-standin-store" "$store"
+  wait_for 5 curl -s -o /dev/null "http://$store/" || fail "the store does not answer"
+}
+
+# put_config VERSION TIMEOUT: routes /safe/, /once/ and /upload/ of host h to service back.
+put_config ()
+{
+  local routes='' kind document
+  for kind in safe once upload; do
+    local type=$kind
+    [ "$kind" = once ] && type=unsafe
+    routes+="{\"name\":\"r-$kind\",\"prefix\":\"/$kind/\",\"route_type\":\"$type\","
+    routes+="\"timeout\":\"$2\",\"target_latency\":\"1s\",\"max_attempts\":2,"
+    routes+="\"priority\":1,\"service\":\"back\"},"
+  done
+  document="{\"version\":$1,\"services\":["
+  document+="{\"name\":\"front\",\"health_path\":\"/health\",\"max_connections\":50},"
+  document+="{\"name\":\"back\",\"health_path\":\"/health\",\"max_connections\":50}],"
+  document+="\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1048576,"
+  document+="\"header_timeout\":\"1s\",\"idle_timeout\":\"10s\"},"
+  document+="\"virtual_hosts\":[{\"host\":\"h\",\"paths\":[${routes%,}]}]}"
+  curl -s -f -o /dev/null "http://$store/v1/rows-tx" -d "{\"precondition\":[],\"put\":[{
+    \"table\":\"op\",\"part\":\"\",\"key\":\"config\",
+    \"value\":\"$(echo -n "$document" | base64 -w 0)\"}],\"remove\":[]}"
+}
+
+write_settings () # NUMBER SERVICE
+{
+  cat >"$work/m$1.json" <<END
+{ "node": "m$1", "zone": "z", "ip": "$(ip "$1")", "store": "$store",
+  "seeds": ["$(ip 1):$reports_port", "$(ip 2):$reports_port"],
+  "listen": { "requests": "$(ip "$1"):$requests_port", "readiness": "$(ip "$1"):$ready_port",
+    "reports": "$(ip "$1"):$reports_port", "nodes": "$(ip "$1"):$nodes_port",
+    "metrics_port": $metrics_port },
+  "server": { "service": "$2", "address": "$(ip "$1"):$server_port",
+    "report_interval": "500ms", "drain": "2s" },
+  "retries": { "ratio": 0.2, "window": "10s", "slack": 40 },
+  "limits": { "memory_mb": 256, "descriptors": 1024, "grace": "6s" } }
+END
+}
+
+start_machine () # NUMBER SERVICE WORK_MS
+{
+  write_settings "$1" "$2"
+  start "m$1" "$build/filbertquay-node" "$work/m$1.json"
+  start "s$1" "$build/fq-standin-server" "$(ip "$1"):$server_port" \
+    "$(ip "$1"):$reports_port" "$2" "i-$1" "$3"
+}
+
+restart_node () # NUMBER
+{
+  start "m$1" "$build/filbertquay-node" "$work/m$1.json"
+}
+
+# send NUMBER TARGET ID [CURL ARGUMENTS]: the status, and the answer in $work/answer.ID.
+send ()
+{
+  local number=$1 target=$2 id=$3
+  shift 3
+  curl -s -o "$work/answer.$id" -w '%{http_code}' -H 'Host: h' -H "X-Attempt-Id: $id" \
+    -H 'X-Timeout-Ms: 5000' "$@" "http://$(ip "$number"):$requests_port$target"
+}
+
+is_ready ()
+{
+  [ "$(curl -s -o /dev/null -w '%{http_code}' \
+    "http://$(ip "$1"):$ready_port/v1/readiness")" = 200 ]
+}
+
+serves_from () # NUMBER
+{
+  [ "$(send "$1" /safe/probe probe)" = 200 ]
+}
