Keep room for calls of running work beside long new work

Change: new work leaves 1.3 times the mean of such calls under way free, at most 0.6 of the room. Test: eight calls each 50 ms beside long work waited up to 370 ms, now at most 60 ms.

--- a/src/mesh/waiting.c
+++ b/src/mesh/waiting.c
@@ -3,8 +3,11 @@
 #include <stdlib.h>
 
 #define FQ_FIRST_GUESS_US (100.0 * FQ_MICROSECONDS_PER_MS) /* before a run has ended */
-#define FQ_NEW_WORK_SHARE 0.1 /* of the room, before calls of running work */
-#define FQ_MEAN_WEIGHT 0.1    /* of the newest run */
+#define FQ_INNER_WEIGHT 0.02 /* of the newest start, in the mean of calls under way */
+#define FQ_INNER_RESERVE 1.3 /* times the mean of calls under way is kept for them */
+#define FQ_INNER_RESERVE_MOST 0.6 /* of the room */
+#define FQ_NEW_WORK_SHARE 0.1     /* of the room, before calls of running work */
+#define FQ_MEAN_WEIGHT 0.1        /* of the newest run */
 
 typedef struct
 {
@@ -63,10 +66,35 @@
   return limit < waiting->limit ? limit : waiting->limit;
 }
 
+static uint32_t
+inner_in_flight (const fq_waiting_t *waiting)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < FQ_INNER_RANKS; i++)
+    count += waiting->rank_in_flight[i];
+  return count;
+}
+
+/* Room that new work leaves free, since a short call that waits behind long work costs
+ * the whole chain that it belongs to. */
+static uint32_t
+kept_free (const fq_waiting_t *waiting)
+{
+  double wanted = waiting->inner_mean * FQ_INNER_RESERVE;
+  double most = waiting->limit * FQ_INNER_RESERVE_MOST;
+  uint32_t reserve = (uint32_t)(wanted < most ? wanted : most);
+  uint32_t used = inner_in_flight (waiting);
+
+  return reserve > used ? reserve - used : 0;
+}
+
 static bool
 has_room (const fq_waiting_t *waiting, uint32_t rank)
 {
-  return waiting->in_flight < waiting->limit
+  uint32_t kept = rank < FQ_INNER_RANKS ? 0 : kept_free (waiting);
+
+  return waiting->in_flight + kept < waiting->limit
          && waiting->rank_in_flight[rank] < limit_of (waiting, rank);
 }
 
@@ -157,6 +185,8 @@
   waiting->in_flight++;
   waiting->rank_in_flight[entry->rank]++;
   waiting->in_flight_us += entry->expected_us;
+  waiting->inner_mean
+      += (inner_in_flight (waiting) - waiting->inner_mean) * FQ_INNER_WEIGHT;
   fq_pressure_started (&waiting->pressure[entry->rank],
                        waiting->rank_in_flight[entry->rank]);
 }
--- a/src/mesh/waiting.h
+++ b/src/mesh/waiting.h
@@ -40,6 +40,7 @@
   uint32_t in_flight;
   uint32_t queued;
   uint32_t rank_in_flight[FQ_RANKS];
+  double inner_mean; /* calls of running work that run at once, over the last starts */
   fq_pressure_t pressure[FQ_RANKS];
   fq_time_t in_flight_us; /* expected times of all that run */
   fq_time_t queued_us[FQ_RANKS];
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -241,6 +241,72 @@
 }
 END_TEST
 
+/* Long new work and short calls of running work share one gate of 20 slots; both together
+ * ask for more than it can do. Returns how long the calls waited at most, in ms. */
+static int
+longest_wait_of_calls (void)
+{
+  enum
+  {
+    CALLS_MAX = 8192,
+    LONG_MS = 600,
+    SHORT_MS = 40,
+    ALL_MS = 8000
+  };
+  static fq_waiting_entry_t entries[CALLS_MAX];
+  static fq_time_t begun[CALLS_MAX]; /* arrival, then start */
+  static fq_time_t ends[CALLS_MAX];  /* 0: not started, -1: ended */
+  fq_waiting_t waiting;
+  fq_waiting_entry_t *next;
+  size_t count = 0;
+  fq_time_t longest = 0;
+
+  memset (entries, 0, sizeof entries);
+  memset (ends, 0, sizeof ends);
+  fq_waiting_init (&waiting);
+  waiting.limit = 20;
+  for (int ms = 0; ms < ALL_MS; ms++)
+    {
+      for (size_t i = 0; i < count; i++)
+        {
+          if (ends[i] != ms || ends[i] == 0)
+            continue;
+          ends[i] = -1;
+          fq_waiting_end (&waiting, &entries[i],
+                          (entries[i].rank == 0 ? SHORT_MS : LONG_MS) * MS);
+        }
+      /* Eight calls come together each 50 ms; new work would fill any number of slots. */
+      for (int i = 0; i < 9; i++)
+        {
+          if (i < 8 ? ms % 50 != 0 : ms % 10 != 1)
+            continue;
+          entries[count].rank = i < 8 ? 0 : 6;
+          entries[count].route = entries[count].rank + 1;
+          begun[count] = ms;
+          fq_waiting_push (&waiting, &entries[count++]);
+        }
+      while ((next = fq_waiting_next (&waiting)) != NULL)
+        {
+          size_t i = (size_t)(next - entries);
+
+          fq_waiting_remove (&waiting, next);
+          fq_waiting_start (&waiting, next);
+          ends[i] = ms + (next->rank == 0 ? SHORT_MS : LONG_MS);
+          if (next->rank == 0 && ms > ALL_MS / 2 && ms - begun[i] > longest)
+            longest = ms - begun[i];
+        }
+    }
+  fq_waiting_clear (&waiting);
+  return (int)longest;
+}
+
+START_TEST (test_calls_of_running_work_find_room_beside_long_work)
+{
+  /* A chain makes five such calls in a row, and has some 300 ms for all of them. */
+  ck_assert_int_le (longest_wait_of_calls (), 60);
+}
+END_TEST
+
 /* A chain whose narrow place lets @capacity of its runs at once through: with more at
  * once, the part beyond it starves. Each run takes 250 ms, and as many start as may.
  * Returns the share of all runs that starved after the first 20 seconds of 60. */
@@ -323,6 +389,7 @@
   tcase_add_test (tcase, test_crash_blames_what_was_lost_just_before);
   tcase_add_test (tcase, test_order_of_those_that_wait);
   tcase_add_test (tcase, test_wait_is_what_stands_ahead);
+  tcase_add_test (tcase, test_calls_of_running_work_find_room_beside_long_work);
   tcase_add_test (tcase, test_pressure_finds_the_narrow_place);
   tcase_add_test (tcase, test_pressure_leaves_work_alone_that_finds_room);
   suite_add_tcase (suite, tcase);
