--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -44,6 +44,8 @@
 int fq_cli_report (int argc, char **argv);
 int fq_cli_check_settings (int argc, char **argv);
 int fq_cli_load (int argc, char **argv);
+int fq_cli_explain (int argc, char **argv);
+int fq_cli_day (int argc, char **argv);
 
 /**
  * fq_cli_read_key() - "Bearer KEY" from the first line of the file @path, or from the
--- /dev/null
+++ b/src/cli/day.c
@@ -0,0 +1,311 @@
+/**
+ * DOC: `filbertquay day`: what happened over a time, from the logs of all nodes: requests
+ * by outcome, refusals by cause, repeats, drains and configurations; as text, JSON, or
+ * data and script for gnuplot.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "cli/cli.h"
+#include "cli/event_lines.h"
+#include "filbertquay/errors.h"
+#include "util/text.h"
+
+#define FQ_LOGS_MAX 4096
+#define FQ_SECOND_BYTES 20 /* "2026-12-04T01:02:03" with its NUL */
+#define FQ_VALUE_BYTES 128
+#define FQ_TALLY_MAX 256
+#define FQ_STATUS_SERVER_ERROR 500
+
+/** enum format_t - how the report is written. */
+typedef enum
+{
+  FORMAT_TEXT,
+  FORMAT_JSON,
+  FORMAT_PLOT,
+} format_t;
+
+typedef struct
+{
+  format_t format;
+  const char *paths[FQ_LOGS_MAX];
+  size_t path_count;
+} options_t;
+
+/* How often each of some texts was seen, in the order of their first sight. */
+typedef struct
+{
+  struct
+  {
+    char name[FQ_VALUE_BYTES * 2];
+    size_t count;
+  } entries[FQ_TALLY_MAX];
+  size_t count;
+} tally_t;
+
+typedef struct
+{
+  char second[FQ_SECOND_BYTES];
+  size_t answered;
+  size_t refused;
+  size_t failed;
+} second_t;
+
+typedef struct
+{
+  tally_t outcomes;
+  tally_t causes;   /* of requests that were refused or failed */
+  tally_t refusals; /* of gates, by node and cause */
+  tally_t phases;   /* of servers, by phase and reason */
+  tally_t configs;  /* versions, by how many nodes took them */
+  size_t repeats;
+  second_t *seconds;
+  size_t second_count;
+} day_t;
+
+static void
+count (tally_t *tally, const char *name)
+{
+  for (size_t i = 0; i < tally->count; i++)
+    {
+      if (strcmp (tally->entries[i].name, name) == 0)
+        {
+          tally->entries[i].count++;
+          return;
+        }
+    }
+  if (tally->count == FQ_TALLY_MAX)
+    return;
+  fq_text_copy (tally->entries[tally->count].name, sizeof tally->entries[0].name, name);
+  tally->entries[tally->count++].count = 1;
+}
+
+static void
+count_pair (tally_t *tally, const char *first, const char *second)
+{
+  char name[FQ_VALUE_BYTES * 2];
+
+  snprintf (name, sizeof name, "%s %s", first, second);
+  count (tally, name);
+}
+
+static second_t *
+second_of (day_t *day, const char *time)
+{
+  char text[FQ_SECOND_BYTES];
+  second_t *grown;
+
+  fq_text_copy (text, sizeof text, time);
+  if (day->second_count > 0
+      && strcmp (day->seconds[day->second_count - 1].second, text) == 0)
+    return &day->seconds[day->second_count - 1];
+  grown = realloc (day->seconds, (day->second_count + 1) * sizeof *grown);
+  if (grown == NULL)
+    abort ();
+  day->seconds = grown;
+  grown[day->second_count] = (second_t){ 0 };
+  memcpy (grown[day->second_count].second, text, sizeof text);
+  return &grown[day->second_count++];
+}
+
+static void
+take_request_end (day_t *day, const fq_event_line_t *line)
+{
+  second_t *second = second_of (day, line->time);
+  char outcome[FQ_VALUE_BYTES];
+  char cause[FQ_VALUE_BYTES];
+  char route[FQ_VALUE_BYTES];
+
+  fq_event_line_get (line, "outcome", outcome, sizeof outcome);
+  fq_event_line_get (line, "cause", cause, sizeof cause);
+  fq_event_line_get (line, "route", route, sizeof route);
+  count (&day->outcomes, outcome);
+  if (strcmp (outcome, "answered") == 0
+      && fq_event_line_number (line, "status") < FQ_STATUS_SERVER_ERROR)
+    second->answered++;
+  else if (strcmp (outcome, "not-run") == 0)
+    second->refused++;
+  else
+    second->failed++;
+  if (strcmp (outcome, "answered") != 0)
+    count_pair (&day->causes, cause, route);
+}
+
+static void
+take_line (day_t *day, const fq_event_line_t *line)
+{
+  char first[FQ_VALUE_BYTES];
+  char second[FQ_VALUE_BYTES];
+
+  if (fq_event_line_is (line, "request-end"))
+    take_request_end (day, line);
+  else if (fq_event_line_is (line, "attempt"))
+    day->repeats += (size_t)fq_event_line_number (line, "repeat");
+  else if (fq_event_line_is (line, "gate-refused"))
+    {
+      fq_event_line_get (line, "cause", first, sizeof first);
+      count_pair (&day->refusals, line->node, first);
+    }
+  else if (fq_event_line_is (line, "server-phase"))
+    {
+      fq_event_line_get (line, "to", first, sizeof first);
+      fq_event_line_get (line, "reason", second, sizeof second);
+      count_pair (&day->phases, first, second);
+    }
+  else if (fq_event_line_is (line, "config-in-force"))
+    {
+      fq_event_line_get (line, "version", first, sizeof first);
+      count (&day->configs, first);
+    }
+}
+
+static void
+print_tally (const char *title, const tally_t *tally)
+{
+  printf ("%s\n", title);
+  for (size_t i = 0; i < tally->count; i++)
+    printf ("  %8zu  %s\n", tally->entries[i].count, tally->entries[i].name);
+}
+
+static void
+print_text (const day_t *day)
+{
+  print_tally ("requests, by outcome", &day->outcomes);
+  print_tally ("not answered, by cause and route", &day->causes);
+  print_tally ("refused by gates, by node and cause", &day->refusals);
+  printf ("repeats at servers\n  %8zu\n", day->repeats);
+  print_tally ("servers, by phase entered and reason", &day->phases);
+  print_tally ("configurations, by nodes that took each version", &day->configs);
+}
+
+static json_t *
+tally_as_json (const tally_t *tally)
+{
+  json_t *object = json_object ();
+
+  for (size_t i = 0; i < tally->count; i++)
+    json_object_set_new (object, tally->entries[i].name,
+                         json_integer ((json_int_t)tally->entries[i].count));
+  return object;
+}
+
+static void
+print_json (const day_t *day)
+{
+  json_t *seconds = json_array ();
+  json_t *root;
+
+  for (size_t i = 0; i < day->second_count; i++)
+    json_array_append_new (
+        seconds, json_pack ("{s:s,s:I,s:I,s:I}", "second", day->seconds[i].second,
+                            "answered", (json_int_t)day->seconds[i].answered, "refused",
+                            (json_int_t)day->seconds[i].refused, "failed",
+                            (json_int_t)day->seconds[i].failed));
+  root = json_pack (
+      "{s:o,s:o,s:o,s:I,s:o,s:o,s:o}", "outcomes", tally_as_json (&day->outcomes),
+      "causes", tally_as_json (&day->causes), "refusals", tally_as_json (&day->refusals),
+      "repeats", (json_int_t)day->repeats, "servers", tally_as_json (&day->phases),
+      "configurations", tally_as_json (&day->configs), "seconds", seconds);
+  json_dumpf (root, stdout, JSON_INDENT (1));
+  putchar ('\n');
+  json_decref (root);
+}
+
+static void
+print_plot (const day_t *day)
+{
+  printf (
+      "set terminal svg size 900,400\nset key outside\nset ylabel 'requests a second'\n"
+      "set xlabel 'seconds from the first line'\n$seconds << END\n");
+  for (size_t i = 0; i < day->second_count; i++)
+    printf ("%zu %zu %zu %zu\n", i, day->seconds[i].answered, day->seconds[i].refused,
+            day->seconds[i].failed);
+  printf ("END\nplot $seconds using 1:2 with lines title 'answered', "
+          "$seconds using 1:3 with lines title 'refused', "
+          "$seconds using 1:4 with lines title 'failed'\n");
+}
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  options_t *options = state->input;
+
+  switch (key)
+    {
+    case 'j':
+      options->format = FORMAT_JSON;
+      return 0;
+    case 'p':
+      options->format = FORMAT_PLOT;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (options->path_count == FQ_LOGS_MAX)
+        argp_error (state, "more than %d logs", FQ_LOGS_MAX);
+      options->paths[options->path_count++] = argument;
+      return 0;
+    case ARGP_KEY_NO_ARGS:
+      argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+print_day (const day_t *day, format_t format)
+{
+  switch (format)
+    {
+    case FORMAT_TEXT:
+      print_text (day);
+      break;
+    case FORMAT_JSON:
+      print_json (day);
+      break;
+    case FORMAT_PLOT:
+      print_plot (day);
+      break;
+    }
+}
+
+int
+fq_cli_day (int argc, char **argv)
+{
+  static const struct argp_option table[] = {
+    { "json", 'j', NULL, 0, "Write JSON", 0 },
+    { "plot", 'p', NULL, 0, "Write a gnuplot script that draws requests by second", 0 },
+    { 0 },
+  };
+  static const struct argp argp = {
+    .options = table,
+    .parser = parse_option,
+    .args_doc = "LOG...",
+    .doc = "Tell what happened over the time of the logs.\v" FQ_CLI_EXIT_DOC,
+  };
+  static options_t options;
+  static day_t day;
+  fq_event_lines_t lines = { 0 };
+  int rc = FQ_EXIT_REFUSED;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &options);
+  for (size_t i = 0; i < options.path_count; i++)
+    {
+      if (fq_event_lines_read (&lines, options.paths[i]) < 0)
+        {
+          fprintf (stderr, "filbertquay day: %s\n", fq_error_last ()->message);
+          goto done;
+        }
+    }
+  fq_event_lines_sort (&lines);
+  for (size_t i = 0; i < lines.count; i++)
+    take_line (&day, &lines.lines[i]);
+  print_day (&day, options.format);
+  rc = FQ_EXIT_OK;
+done:
+  free (day.seconds);
+  fq_event_lines_clear (&lines);
+  return rc;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -16,6 +16,8 @@
   { "report", fq_cli_report },
   { "check-settings", fq_cli_check_settings },
   { "load", fq_cli_load },
+  { "explain", fq_cli_explain },
+  { "day", fq_cli_day },
 };
 
 typedef struct
@@ -77,6 +79,8 @@
            "  report burn          service-level burn by service and class\n"
            "  check-settings FILE  check a node's settings\n"
            "  load                 send requests at a planned rate\n"
+           "  explain ID LOG...    what became of a request, from the logs of nodes\n"
+           "  day LOG...           refusals, retries, drains and configurations by time\n"
            "\n"
            "COMMAND --help explains each.\n"
            "\n" FQ_CLI_EXIT_DOC,
--- a/src/mesh/choice.c
+++ b/src/mesh/choice.c
@@ -38,9 +38,23 @@
   return 1 / (1 + (double)(mesh->now - peer->judged_at) / FQ_FORGIVE_US);
 }
 
+/* The wait that a gate told, in answer times of the route. */
 static double
-cost_of (const fq_mesh_t *mesh, const fq_peer_t *peer, size_t bytes)
+wait_cost (const fq_mesh_t *mesh, const fq_peer_t *peer, const fq_exchange_t *exchange)
 {
+  const fq_route_time_t *time = fq_map_get (&mesh->route_times, exchange->route_id);
+  double age = (double)(mesh->now - peer->room_at);
+
+  if (exchange->rank < FQ_INNER_RANKS || time == NULL || time->mean_us <= 0)
+    return 0;
+  return peer->room.wait_ms * (double)FQ_MICROSECONDS_PER_MS / time->mean_us
+         / (1 + age / FQ_ROOM_FADES_US);
+}
+
+static double
+cost_of (const fq_mesh_t *mesh, const fq_peer_t *peer, const fq_exchange_t *exchange)
+{
+  size_t bytes = fq_http_message_body_size (exchange->message);
   double limit = peer->room.limit > 0 ? peer->room.limit : 1;
   double full = load_of (mesh, peer) / limit;
   double trust = fading (mesh, peer);
@@ -49,6 +63,7 @@
   cost += FQ_FULLNESS_COST * full * full;
   if (full > 1)
     cost += (full - 1) * 4;
+  cost += wait_cost (mesh, peer, exchange);
   cost += FQ_FAILING_COST * peer->failing * trust;
   if (strcmp (peer->zone, mesh->zone) != 0)
     cost += FQ_OTHER_ZONE_COST * (1 + (double)bytes / FQ_OTHER_ZONE_BYTES);
@@ -74,7 +89,6 @@
 fq_peer_t *
 fq_choice_of_gate (fq_mesh_t *mesh, const fq_exchange_t *exchange)
 {
-  size_t bytes = fq_http_message_body_size (exchange->message);
   fq_peer_t *best = NULL;
   double best_cost = 0;
   size_t cursor = 0;
@@ -86,7 +100,7 @@
 
       if (!is_candidate (peer, exchange))
         continue;
-      cost = cost_of (mesh, peer, bytes) * (1 + fq_random_unit (&mesh->random) * 0.1);
+      cost = cost_of (mesh, peer, exchange) * (1 + fq_random_unit (&mesh->random) * 0.1);
       if (best != NULL && cost >= best_cost)
         continue;
       best = peer;
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -214,6 +214,14 @@
   peer->outstanding++;
   peer->sent_since++;
   mesh->metrics.counters[FQ_METRIC_OFFERS]++;
+  fq_mesh_log (mesh, false,
+               "event=attempt id=%s node=%08x offer=%u rank=%u repeat=%d limit=%u "
+               "in_flight=%u queued=%u told_ms_ago=%lld slowness=%.2f failing=%.2f",
+               exchange->request_id, peer->address, exchange->offers, exchange->rank,
+               exchange->servers_reached > 0, peer->room.limit, peer->room.in_flight,
+               peer->room.queued,
+               (long long)((mesh->now - peer->room_at) / FQ_MICROSECONDS_PER_MS),
+               peer->slowness, peer->failing);
   frame.attempt = exchange->attempt;
   write_offer (mesh, exchange, &frame.offer);
   if (goes_with_offer (exchange))
@@ -230,9 +238,13 @@
 {
   fq_peer_t *peer;
 
+  if (exchange->deadline - mesh->now < FQ_RETRY_MIN_LEFT_US)
+    {
+      give_up (mesh, exchange, exchange->offers == 0 ? "no-time" : cause_if_none);
+      return;
+    }
   if (exchange->offers >= FQ_OFFERS_MAX
-      || exchange->servers_reached >= exchange->max_attempts
-      || exchange->deadline - mesh->now < FQ_RETRY_MIN_LEFT_US)
+      || exchange->servers_reached >= exchange->max_attempts)
     {
       give_up (mesh, exchange, cause_if_none);
       return;
@@ -328,7 +340,8 @@
     {
       mesh->metrics.counters[FQ_METRIC_NO_ROUTE]++;
       fq_mesh_log (mesh, false,
-                   "event=request-end id=%s outcome=no-route status=404 config=%llu",
+                   "event=request-end id=%s outcome=no-route status=404 cause=no-route "
+                   "config=%llu",
                    request->request_id, (unsigned long long)mesh->config->version);
       reply_own (mesh, request->id, FQ_STATUS_NOT_FOUND, 0, "no-route");
       return;
@@ -426,15 +439,15 @@
 }
 
 static void
-take_failure (fq_mesh_t *mesh, fq_exchange_t *exchange, fq_refusal_t cause)
+take_failure (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause)
 {
   leave_gate (mesh, exchange);
   exchange->servers_reached++;
   exchange->may_have_run = true;
   if (exchange->idempotent && fq_blame_crashes (&mesh->blame, exchange->fingerprint) == 0)
-    try_gate (mesh, exchange, fq_refusal_name (cause));
+    try_gate (mesh, exchange, cause);
   else
-    give_up (mesh, exchange, fq_refusal_name (cause));
+    give_up (mesh, exchange, cause);
 }
 
 void
@@ -466,7 +479,7 @@
     case FQ_FRAME_FAILED:
       fq_choice_judge (mesh, peer, exchange->route_id, 0, true);
       log_attempt (mesh, exchange, frame);
-      take_failure (mesh, exchange, frame->cause);
+      take_failure (mesh, exchange, fq_refusal_name (frame->cause));
       break;
     default:
       break;
@@ -502,7 +515,7 @@
                    exchange->handed ? "may-have-run" : "not-run");
       if (exchange->handed)
         {
-          take_failure (mesh, exchange, FQ_REFUSAL_LOST);
+          take_failure (mesh, exchange, "gate-lost");
           continue;
         }
       leave_gate (mesh, exchange);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -71,7 +71,7 @@
   uint32_t limit;     /* requests that may run at once */
   uint32_t in_flight; /* requests that run now */
   uint32_t queued;    /* requests that wait */
-  uint32_t wait_ms;   /* expected wait of a new request of the least rank */
+  uint32_t wait_ms;   /* that new work has to wait, of the rank that waits longest */
   uint64_t config_version;
 } fq_room_t;
 
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -11,10 +11,9 @@
 
 #define FQ_GRANT_US (1 * FQ_MICROSECONDS_PER_SECOND) /* for the request to follow */
 #define FQ_OVERDUE_US                                                                    \
-  (60 * FQ_MICROSECONDS_PER_SECOND) /* a silent server holds a run no longer than that   \
-                                       after its deadline */
-#define FQ_WAIT_SHARE 0.35          /* of the time left, that waiting may take */
-#define FQ_WAIT_SHARE_LEAST 0.05    /* even when an answer will come late */
+  (5 * FQ_MICROSECONDS_PER_SECOND) /* after its time, a run holds no room any more */
+#define FQ_WAIT_SHARE 0.35         /* of the time left, that waiting may take */
+#define FQ_WAIT_SHARE_LEAST 0.05   /* even when an answer will come late */
 #define FQ_SPREAD 1.5 /* most runs take no longer than that many times the mean */
 #define FQ_RETRY_RATIO_SHARE 0.85 /* of the allowed ratio */
 #define FQ_RETRY_SLACK_SHARE 0.4  /* of the allowed slack: a restart begins it anew */
@@ -37,6 +36,21 @@
   return run != NULL && run->asker == asker && run->attempt == attempt ? run : NULL;
 }
 
+/* How long new work waits, of the rank that waits longest. */
+static fq_time_t
+longest_wait (const fq_waiting_t *waiting)
+{
+  fq_time_t longest = 0;
+
+  for (uint32_t rank = FQ_INNER_RANKS; rank < FQ_RANKS; rank++)
+    {
+      fq_time_t wait = fq_waiting_time (waiting, rank);
+
+      longest = wait > longest ? wait : longest;
+    }
+  return longest;
+}
+
 void
 fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out)
 {
@@ -46,8 +60,7 @@
     .limit = waiting->limit,
     .in_flight = waiting->in_flight,
     .queued = waiting->queued,
-    .wait_ms
-    = (uint32_t)(fq_waiting_time (waiting, FQ_RANKS - 1) / FQ_MICROSECONDS_PER_MS),
+    .wait_ms = (uint32_t)(longest_wait (waiting) / FQ_MICROSECONDS_PER_MS),
     .config_version = fq_mesh_config_version (mesh),
   };
 }
@@ -373,6 +386,9 @@
 static void
 abort_run (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
+  fq_mesh_log (mesh, false, "event=run-aborted id=%s instance=%s ran_ms=%lld",
+               run->offer.request_id, mesh->gate.server.instance,
+               (long long)((mesh->now - run->started) / FQ_MICROSECONDS_PER_MS));
   fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_ABORT)->run = run->id;
   release_room (mesh, run, 0);
   free_run (mesh, run);
@@ -508,6 +524,12 @@
   fq_frame_t frame = { .kind = FQ_FRAME_ANSWER, .attempt = run->attempt };
 
   mesh->gate.answered_at = mesh->now;
+  fq_mesh_log (mesh, false,
+               "event=run-end id=%s instance=%s status=%u waited_ms=%lld ran_ms=%lld "
+               "rank=%u starved=%d",
+               run->offer.request_id, mesh->gate.server.instance, answer->status,
+               (long long)((run->started - run->arrived) / FQ_MICROSECONDS_PER_MS),
+               (long long)(took / FQ_MICROSECONDS_PER_MS), run->offer.rank, run->starved);
   fq_blame_clear (&mesh->blame, run->offer.fingerprint);
   fq_histogram_add (&mesh->metrics.run_us, took);
   release_room (mesh, run, took);
--- a/src/node/event_log.c
+++ b/src/node/event_log.c
@@ -12,11 +12,13 @@
 #include <log4c.h>
 
 #include "filbertquay/errors.h"
+#include "filbertquay/types.h"
 #include "io/buffer.h"
+#include "util/text.h"
 
 #define FQ_LOG_NAME "filbertquay-node" /* of our layout, appender and category */
 #define FQ_LOG_TEXT_BYTES 512
-#define FQ_LOG_LINE_BYTES 600
+#define FQ_LOG_LINE_BYTES 640
 #define FQ_LOG_TIME_BYTES 32
 #define FQ_LOG_WAITING_BYTES (128 * 1024) /* that standard output did not take yet */
 #define FQ_LOG_LINES_PER_SECOND 2000
@@ -26,6 +28,7 @@
 static struct
 {
   struct ev_loop *loop;
+  char node[FQ_NAME_BYTES];
   ev_prepare flush;
   ev_timer retry;
   log4c_category_t *category;
@@ -46,9 +49,10 @@
   (void)layout;
   gmtime_r (&event->evt_timestamp.tv_sec, &utc);
   strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%S", &utc);
-  snprintf (
-      line, sizeof line, "%s.%03ldZ %s %s\n", when, event->evt_timestamp.tv_usec / 1000,
-      event->evt_priority == LOG4C_PRIORITY_WARN ? "warning" : "info", event->evt_msg);
+  snprintf (line, sizeof line, "%s.%03ldZ %s %s %s\n", when,
+            event->evt_timestamp.tv_usec / 1000,
+            event->evt_priority == LOG4C_PRIORITY_WARN ? "warning" : "info",
+            event_log.node, event->evt_msg);
   return line;
 }
 
@@ -123,7 +127,7 @@
 }
 
 int
-fq_event_log_open (struct ev_loop *loop, bool warnings_only)
+fq_event_log_open (struct ev_loop *loop, const char *node, bool warnings_only)
 {
   log4c_appender_t *appender;
   log4c_layout_t *layout;
@@ -146,6 +150,7 @@
   if (flags >= 0)
     (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   event_log.loop = loop;
+  fq_text_copy (event_log.node, sizeof event_log.node, node);
   ev_prepare_init (&event_log.flush, on_flush);
   ev_prepare_start (loop, &event_log.flush);
   ev_timer_init (&event_log.retry, on_retry, 0., FQ_LOG_RETRY_SECONDS);
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -15,7 +15,7 @@
 #include <ev.h>
 
 /** fq_event_log_open() - begin; @warnings_only leaves out all others. */
-int fq_event_log_open (struct ev_loop *loop, bool warnings_only);
+int fq_event_log_open (struct ev_loop *loop, const char *node, bool warnings_only);
 
 /** fq_event_log_write() - one line; control characters in @text become '?'. */
 void fq_event_log_write (bool warning, const char *text);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -648,8 +648,9 @@
       fq_node_close (node);
       return error;
     }
-  fq_event_log_printf (false, "event=start node=%s zone=%s service=%s server=%s store=%s",
-                       settings->node, settings->zone, settings->service,
+  fq_event_log_printf (false,
+                       "event=start address=%08x zone=%s service=%s server=%s store=%s",
+                       node->address, settings->zone, settings->service,
                        settings->server_address, settings->store_address);
   feed_seeds (node);
   *out = node;
--- a/src/sidecar/filbertquay_node.c
+++ b/src/sidecar/filbertquay_node.c
@@ -131,12 +131,12 @@
       fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_IO, "no event loop can be made");
       goto fail;
     }
-  if (fq_event_log_open (loop, settings.log_level > 0) < 0
+  if (fq_event_log_open (loop, settings.node, settings.log_level > 0) < 0
       || fq_node_open (&node, loop, &settings, options.path) < 0)
     goto fail;
   serve (loop, node);
   fq_node_close (node);
-  fq_event_log_printf (false, "event=end node=%s", settings.node);
+  fq_event_log_printf (false, "event=end");
   fq_event_log_close ();
   return EXIT_SUCCESS;
 
--- a/standins/server.c
+++ b/standins/server.c
@@ -3,7 +3,9 @@
  * node on its machine, and answers each request after a time.
  *
  * usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS. For each request that it
- * runs it writes "run REQUEST_ID CALLER" to standard output. SIGTERM makes it drain.
+ * runs it writes "run REQUEST_ID CALLER" to standard output. SIGTERM makes it drain. A
+ * path that ends with "refuse", "drop", "unsigned" or "never" makes it refuse the
+ * request, close the connection, answer without a signature, or not answer.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -20,9 +22,11 @@
 
 #define REPORT_SECONDS 0.5
 #define SLOTS 20
+#define NEVER_SECONDS 3600.
 #define FIELD_BYTES 128
 #define STATUS_OK 200
 #define STATUS_WRONG_INSTANCE 421
+#define STATUS_UNAVAILABLE 503
 
 typedef struct
 {
@@ -43,6 +47,15 @@
 static unsigned int sequence;
 static bool draining;
 
+static bool
+wants (const fq_http_message_t *message, const char *fault)
+{
+  size_t size = strlen (message->target);
+  size_t fault_size = strlen (fault);
+
+  return size >= fault_size && strcmp (message->target + size - fault_size, fault) == 0;
+}
+
 static void
 on_done (struct ev_loop *running, ev_timer *timer, int events)
 {
@@ -70,10 +83,12 @@
   work->answer = fq_http_message_new ();
   work->answer->status = STATUS_OK;
   fq_http_message_add (work->answer, "X-Attempt-Id", request_id);
-  fq_http_message_add (work->answer, "X-Response-Signature", "signed");
+  if (!wants (message, "unsigned"))
+    fq_http_message_add (work->answer, "X-Response-Signature", "signed");
   if (fq_blob_new (&work->answer->body, instance, strlen (instance)) < 0)
     abort ();
-  ev_timer_init (&work->timer, on_done, work_seconds, 0.);
+  ev_timer_init (&work->timer, on_done,
+                 wants (message, "never") ? NEVER_SECONDS : work_seconds, 0.);
   work->timer.data = work;
   ev_timer_start (loop, &work->timer);
 }
@@ -89,6 +104,17 @@
   fq_http_message_unref (answer);
 }
 
+static void
+refuse (fq_id_t id)
+{
+  fq_http_message_t *answer = fq_http_message_new ();
+
+  answer->status = STATUS_UNAVAILABLE;
+  fq_http_message_add (answer, "X-Not-Executed", "1");
+  fq_http_server_reply (server, id, answer);
+  fq_http_message_unref (answer);
+}
+
 static void
 on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
 {
@@ -99,7 +125,7 @@
   (void)from;
   if (strcmp (message->target, "/health") == 0)
     {
-      answer_at_once (id, draining ? 503 : STATUS_OK);
+      answer_at_once (id, draining ? STATUS_UNAVAILABLE : STATUS_OK);
       return;
     }
   if (fq_http_message_get (message, "X-Target-Instance", wanted, sizeof wanted)
@@ -108,6 +134,16 @@
       answer_at_once (id, STATUS_WRONG_INSTANCE);
       return;
     }
+  if (wants (message, "refuse"))
+    {
+      refuse (id);
+      return;
+    }
+  if (wants (message, "drop"))
+    {
+      fq_http_server_drop (server, id);
+      return;
+    }
   fq_http_message_get (message, "X-Attempt-Id", request_id, sizeof request_id);
   begin_work (id, message, request_id);
 }
--- /dev/null
+++ b/tests/process/test_explain.sh
@@ -0,0 +1,98 @@
+#!/usr/bin/env bash
+# Faults of many kinds are played; from the logs alone, `explain` names the one behind each
+# failed request.
+set -eu
+# shellcheck source-path=SCRIPTDIR
+. "$(dirname "$0")/node_lib.sh"
+
+checked=0
+expected=()
+
+# expect ID CAUSE: checked once all logs are complete.
+expect () { expected+=("$1 $2"); }
+
+start_store
+start_machine 1 front 30
+wait_for 5 curl -s -o /dev/null "http://$(ip 1):$ready_port/v1/readiness" || fail "no node"
+send 1 /safe/1 early >/dev/null
+expect early no-config
+put_config 1 1s
+wait_for 5 is_ready 1 || fail "not ready"
+send 1 /safe/1 alone >/dev/null
+expect alone no-gate
+start_machine 2 back 30
+start_machine 3 back 30
+wait_for 5 serves_from 1 || fail "the service is not served"
+wait_for 5 grep -q 'gate-server.*service=back.*phase=ready' "$work/m1.log" || fail "gates"
+sleep 1
+
+send 1 /nowhere/1 nowhere >/dev/null
+expect nowhere no-route
+send 1 /once/refuse refused -d x >/dev/null
+expect refused server-refused
+send 1 /once/drop dropped -d x >/dev/null
+expect dropped connection-lost
+send 1 /once/unsigned unsigned -d x >/dev/null
+expect unsigned broken-answer
+send 1 /safe/never never >/dev/null
+expect never timeout
+send 1 /safe/never left --max-time 0.3 >/dev/null || true
+expect left client-gone
+
+# The request is at a gate when its node is killed.
+send 1 /once/never lost -d x >"$work/status.lost" &
+asker=$!
+wait_for 1 grep -q '^run lost' "$work/s2.log" "$work/s3.log" || fail "did not run"
+for i in 2 3; do
+  grep -q '^run lost' "$work/s$i.log" && kill -KILL "$(pid_of "m$i")" && lost_node=$i
+done
+wait "$asker" || true
+expect lost gate-lost
+
+# All slots of the gate that is left are taken for a second; what comes then finds no room.
+for i in $(seq 60); do
+  send 1 /once/never "full$i" -d x >/dev/null &
+done
+sleep 0.5
+send 1 /once/1 crowded -d x >/dev/null
+expect crowded no-room
+wait $(jobs -p | grep -vxF "$(printf '%s\n' "${pids[@]}")") || true
+
+# Both servers are gone, and their gates find out by the request.
+kill -KILL "$(pid_of s2)" "$(pid_of s3)"
+send 1 /once/1 down -d x >/dev/null
+expect down connect
+
+kill -TERM "$(pid_of m1)"
+sleep 0.5
+send 1 /safe/never slow -H 'X-Timeout-Ms: 9000' >/dev/null || true
+expect slow no-gate
+
+logs=("$work"/m[123].log)
+for pair in "${expected[@]}"; do
+  read -r id cause <<<"$pair"
+  "$build/filbertquay" explain "$id" "${logs[@]}" >"$work/explained" 2>/dev/null || true
+  grep -q "^cause: $cause " "$work/explained" \
+    || fail "$id: expected $cause; $(grep '^cause' "$work/explained")"
+  checked=$((checked + 1))
+done
+[ "$checked" -ge 10 ] || fail "only $checked kinds"
+
+# The node that was killed can't tell: its missing line is named.
+"$build/filbertquay" explain lost "${logs[@]}" 2>/dev/null | grep -q "^missing: .*m$lost_node" \
+  || fail "the missing line is not named"
+"$build/filbertquay" explain lost "$work/m1.log" 2>/dev/null | grep -q "^missing: the log" \
+  || fail "the missing log is not named"
+"$build/filbertquay" explain nobody "${logs[@]}" >/dev/null 2>"$work/error" && fail "unknown id"
+grep -q 'no line names request nobody' "$work/error" || fail "no clear error"
+"$build/filbertquay" explain lost "$work/s1.log" 2>"$work/error" && fail "foreign log"
+grep -q 'no line of filbertquay-node' "$work/error" || fail "no clear error for a foreign log"
+head -c 3000 "$work/m1.log" >"$work/cut.log"
+"$build/filbertquay" explain early "$work/cut.log" >/dev/null 2>"$work/error" || true
+grep -q 'lines are cut' "$work/error" || fail "a cut log is not told"
+
+"$build/filbertquay" day "${logs[@]}" | grep -q 'no-room r-once' || fail "day as text"
+"$build/filbertquay" day --json "${logs[@]}" | jq -e '.repeats >= 1' >/dev/null \
+  || fail "day as JSON"
+"$build/filbertquay" day --plot "${logs[@]}" | grep -q '^plot' || fail "day as a plot"
+echo "1 passed, 0 failed"
