--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -69,6 +69,7 @@
     return;
   memcpy (exchange->parent_id, parent_id, sizeof exchange->parent_id);
   exchange->rank = fq_rank_inner (parent->offer.rank);
+  exchange->chain = parent->offer.chain;
   exchange->repeat_of_parent = parent->offer.repeat;
 }
 
@@ -191,6 +192,7 @@
       = (uint32_t)((exchange->deadline - mesh->now) / FQ_MICROSECONDS_PER_MS);
   offer->target_latency_ms = exchange->target_latency_ms;
   offer->route = exchange->route_id;
+  offer->chain = exchange->chain;
   offer->fingerprint = exchange->fingerprint;
   offer->idempotent = exchange->idempotent;
   offer->repeat = exchange->servers_reached > 0 || exchange->repeat_of_parent;
@@ -289,6 +291,7 @@
   exchange->route_id = route->id;
   exchange->fingerprint = fingerprint_of (mesh, request);
   exchange->rank = fq_rank_outside (route->priority);
+  exchange->chain = XXH3_64bits (request->request_id, strlen (request->request_id)) | 1;
   exchange->max_attempts = route->max_attempts;
   exchange->target_latency_ms = route->target_latency_ms;
   exchange->idempotent = route->idempotent;
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -93,6 +93,7 @@
   uint32_t remaining_ms;
   uint32_t target_latency_ms;
   uint64_t route;
+  uint64_t chain;       /* hash of the request with which all began */
   uint64_t fingerprint; /* of what the server would be asked to do */
   bool idempotent;
   bool repeat; /* it reached a server before */
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -263,15 +263,26 @@
     }
 }
 
+static bool
+keeps_chain (fq_mesh_t *mesh, const fq_offer_t *offer, fq_time_t wait)
+{
+  fq_time_t run = fq_waiting_expect (&mesh->gate.waiting, offer->route);
+
+  if (offer->rank >= FQ_INNER_RANKS)
+    return true;
+  return fq_chain_shed_keeps (&mesh->gate.chain_shed[offer->rank], mesh->now,
+                              offer->chain, wait, run);
+}
+
 static fq_refusal_t
-check_room (const fq_mesh_t *mesh, const fq_offer_t *offer)
+check_room (fq_mesh_t *mesh, const fq_offer_t *offer)
 {
   const fq_waiting_t *waiting = &mesh->gate.waiting;
   fq_time_t wait = fq_waiting_time (waiting, offer->rank);
 
   if (offer->remaining_ms == 0)
     return FQ_REFUSAL_EXPIRED;
-  if (wait > 0 && wait > wait_max (mesh, offer))
+  if ((wait > 0 && wait > wait_max (mesh, offer)) || !keeps_chain (mesh, offer, wait))
     return FQ_REFUSAL_NO_ROOM;
   return FQ_REFUSAL_NONE;
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -8,6 +8,7 @@
 #define FQ_MESH_MESH_PRIVATE_H
 
 #include "mesh/blame.h"
+#include "mesh/chain_shed.h"
 #include "mesh/mesh.h"
 #include "mesh/metrics.h"
 #include "mesh/repeat_budget.h"
@@ -82,6 +83,7 @@
   uint64_t config_version;
   uint64_t route_id;
   uint64_t fingerprint;
+  uint64_t chain;
   uint32_t rank;
   uint32_t max_attempts;
   uint32_t target_latency_ms;
@@ -144,6 +146,7 @@
   fq_time_t drain_until;
   fq_timer_entry_t timer;
   fq_waiting_t waiting;
+  fq_chain_shed_t chain_shed[FQ_INNER_RANKS];
   fq_list_t runs;
   fq_map_t runs_by_id;
   fq_map_t runs_by_request; /* those that run; key: hash of the request's id */
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -476,7 +476,7 @@
   (ProtobufCMessageInit) fq__mesh__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fq__mesh__offer__field_descriptors[10] =
+static const ProtobufCFieldDescriptor fq__mesh__offer__field_descriptors[11] =
 {
   {
     "service",
@@ -598,9 +598,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chain",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Fq__Mesh__Offer, chain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fq__mesh__offer__field_indices_by_name[] = {
   2,   /* field[2] = caller */
+  10,   /* field[10] = chain */
   7,   /* field[7] = fingerprint */
   8,   /* field[8] = idempotent */
   3,   /* field[3] = rank */
@@ -614,7 +627,7 @@
 static const ProtobufCIntRange fq__mesh__offer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor fq__mesh__offer__descriptor =
 {
@@ -624,7 +637,7 @@
   "Fq__Mesh__Offer",
   "fq.mesh",
   sizeof(Fq__Mesh__Offer),
-  10,
+  11,
   fq__mesh__offer__field_descriptors,
   fq__mesh__offer__field_indices_by_name,
   1,  fq__mesh__offer__number_ranges,
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -52,6 +52,7 @@
   wire->offer.remaining_ms = offer->remaining_ms;
   wire->offer.target_latency_ms = offer->target_latency_ms;
   wire->offer.route = offer->route;
+  wire->offer.chain = offer->chain;
   wire->offer.fingerprint = offer->fingerprint;
   wire->offer.idempotent = offer->idempotent;
   wire->offer.repeat = offer->repeat;
@@ -159,6 +160,7 @@
   out->remaining_ms = wire->remaining_ms;
   out->target_latency_ms = wire->target_latency_ms;
   out->route = wire->route;
+  out->chain = wire->chain;
   out->fingerprint = wire->fingerprint;
   out->idempotent = wire->idempotent;
   out->repeat = wire->repeat;
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "mesh/blame.h"
+#include "mesh/chain_shed.h"
 #include "mesh/config.h"
 #include "mesh/pressure.h"
 #include "mesh/repeat_budget.h"
@@ -300,6 +301,102 @@
   return (int)longest;
 }
 
+/* Chains of five calls of 30 ms in a row come to a gate of 10 slots, twice as many as it
+ * can serve, and each is worth something only if all its calls end within 400 ms. Returns
+ * the whole chains, as a share of those that the gate could serve. */
+static double
+whole_chains (bool by_chain)
+{
+  enum
+  {
+    CHAINS = 4000,
+    CALLS = 5,
+    RUN_MS = 30,
+    LIMIT_MS = 400,
+    SLOTS = 10,
+    EACH_MS = 7 /* the gate could serve one each 15 ms */
+  };
+  static fq_waiting_entry_t entries[CHAINS];
+  static int left[CHAINS]; /* calls to be made; -1: given up */
+  static int begun[CHAINS];
+  static int ends[CHAINS]; /* of the call that runs; 0: none runs */
+  fq_chain_shed_t shed = { 0 };
+  fq_random_t random = { 3 };
+  fq_waiting_t waiting;
+  fq_waiting_entry_t *next;
+  size_t count = 0;
+  size_t whole = 0;
+  int all_ms = CHAINS * EACH_MS;
+
+  memset (entries, 0, sizeof entries);
+  memset (ends, 0, sizeof ends);
+  fq_waiting_init (&waiting);
+  waiting.limit = SLOTS;
+  for (int ms = 1; ms < all_ms; ms++)
+    {
+      size_t first = count > 200 ? count - 200 : 0;
+      bool arrives = ms % EACH_MS == 0 && count < CHAINS;
+
+      if (arrives)
+        {
+          left[count] = CALLS;
+          begun[count++] = ms;
+        }
+      for (size_t i = first; i < count; i++)
+        {
+          bool calls = arrives && i == count - 1;
+
+          if (ends[i] == ms)
+            {
+              fq_waiting_end (&waiting, &entries[i], RUN_MS * MS);
+              ends[i] = 0;
+              left[i]--;
+              whole += left[i] == 0;
+              calls = left[i] > 0;
+            }
+          if (!calls)
+            continue;
+          if (ms - begun[i] > LIMIT_MS - RUN_MS
+              || (by_chain
+                  && !fq_chain_shed_keeps (&shed, ms * MS,
+                                           (i * 0x9E3779B97F4A7C15ULL) | 1,
+                                           fq_waiting_time (&waiting, 0), RUN_MS * MS)))
+            {
+              left[i] = -1;
+              continue;
+            }
+          entries[i].rank = 0;
+          entries[i].route = 1;
+          fq_waiting_push (&waiting, &entries[i]);
+        }
+      while ((next = fq_waiting_next (&waiting)) != NULL)
+        {
+          size_t i = (size_t)(next - entries);
+
+          fq_waiting_remove (&waiting, next);
+          if (ms - begun[i] > LIMIT_MS - RUN_MS)
+            {
+              left[i] = -1;
+              continue;
+            }
+          fq_waiting_start (&waiting, next);
+          ends[i] = ms + RUN_MS + (int)fq_random_below (&random, 2);
+        }
+    }
+  fq_waiting_clear (&waiting);
+  return (double)whole / (all_ms / 15.0);
+}
+
+START_TEST (test_chains_are_kept_or_given_up_whole)
+{
+  double plain = whole_chains (false);
+  double by_chain = whole_chains (true);
+
+  ck_assert_msg (by_chain >= 0.85, "%.3f, %.3f without", by_chain, plain);
+  ck_assert_msg (by_chain >= 1.3 * plain, "%.3f, %.3f without", by_chain, plain);
+}
+END_TEST
+
 START_TEST (test_calls_of_running_work_find_room_beside_long_work)
 {
   /* A chain makes five such calls in a row, and has some 300 ms for all of them. */
@@ -390,6 +487,7 @@
   tcase_add_test (tcase, test_order_of_those_that_wait);
   tcase_add_test (tcase, test_wait_is_what_stands_ahead);
   tcase_add_test (tcase, test_calls_of_running_work_find_room_beside_long_work);
+  tcase_add_test (tcase, test_chains_are_kept_or_given_up_whole);
   tcase_add_test (tcase, test_pressure_finds_the_narrow_place);
   tcase_add_test (tcase, test_pressure_leaves_work_alone_that_finds_room);
   suite_add_tcase (suite, tcase);
