--- a/src/http/client.c
+++ b/src/http/client.c
@@ -19,7 +19,6 @@
   const fq_http_call_handlers_t *handlers; /* NULL: the connection is kept */
   void *context;
   fq_time_t kept_since;
-  bool connected;
   bool answer_began;
   bool output_is_out;
 };
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -333,12 +333,6 @@
   server->retired = true;
 }
 
-size_t
-fq_http_server_connections (const fq_http_server_t *server)
-{
-  return server->connection_count;
-}
-
 void
 fq_http_server_close (fq_http_server_t *server)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -66,9 +66,6 @@
 /** fq_http_server_retire() - every answer from now on is the last of its connection. */
 void fq_http_server_retire (fq_http_server_t *server);
 
-/** fq_http_server_connections() - connections that are open. */
-size_t fq_http_server_connections (const fq_http_server_t *server);
-
 /** fq_http_server_close() - end all connections; NULL-safe. */
 void fq_http_server_close (fq_http_server_t *server);
 
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -380,15 +380,6 @@
   return FQ_OK;
 }
 
-void
-fq_stream_set_context (fq_stream_t *stream,
-                       const fq_stream_handlers_t *handlers,
-                       void *context)
-{
-  stream->handlers = handlers;
-  stream->context = context;
-}
-
 fq_buffer_t *
 fq_stream_output (fq_stream_t *stream)
 {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -89,11 +89,6 @@
                       const fq_stream_handlers_t *handlers,
                       void *context);
 
-/** fq_stream_set_context() - who is told from now on. */
-void fq_stream_set_context (fq_stream_t *stream,
-                            const fq_stream_handlers_t *handlers,
-                            void *context);
-
 /** fq_stream_output() - the buffer to append output to; goes out this turn. */
 fq_buffer_t *fq_stream_output (fq_stream_t *stream);
 
--- /dev/null
+++ b/src/mesh/config_state.c
@@ -0,0 +1,80 @@
+/**
+ * DOC: Which configuration is in force, and how a node gets one that another has.
+ *
+ * Versions only grow. The store is the source; a node that sees a newer version in a
+ * frame waits a moment for the store and then asks the other node.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+#define FQ_CONFIG_WAIT_US                                                                \
+  (300 * FQ_MICROSECONDS_PER_MS) /* for the store, before another node is asked */
+
+void
+fq_mesh_send_config (fq_mesh_t *mesh, fq_id_t asker, uint64_t known)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG };
+
+  if (fq_mesh_config_version (mesh) <= known)
+    return;
+  frame.number = mesh->config->version;
+  frame.document_size = mesh->config->document_size;
+  frame.document = malloc (frame.document_size);
+  if (frame.document == NULL)
+    abort ();
+  memcpy (frame.document, mesh->config->document, frame.document_size);
+  fq_mesh_to_asker (mesh, asker, &frame);
+}
+
+void
+fq_mesh_ask_for_config (fq_mesh_t *mesh)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG_WANTED };
+  fq_peer_t *peer = fq_map_get (&mesh->peers, mesh->newest_at);
+
+  if (mesh->newest_seen <= fq_mesh_config_version (mesh) || peer == NULL
+      || peer->link != FQ_LINK_UP)
+    return;
+  frame.number = fq_mesh_config_version (mesh);
+  fq_mesh_log (mesh, false, "event=config-wanted have=%llu seen=%llu node=%08x",
+               (unsigned long long)frame.number, (unsigned long long)mesh->newest_seen,
+               mesh->newest_at);
+  fq_mesh_to_gate (mesh, mesh->newest_at, &frame);
+  fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
+}
+
+void
+fq_mesh_saw_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version)
+{
+  if (version <= fq_mesh_config_version (mesh))
+    return;
+  mesh->newest_seen = version;
+  mesh->newest_at = node;
+  if (mesh->config == NULL)
+    fq_mesh_ask_for_config (mesh);
+  else if (mesh->config_timer.position == 0)
+    fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
+}
+
+void
+fq_mesh_take_config (fq_mesh_t *mesh, fq_config_t *config)
+{
+  uint64_t old = fq_mesh_config_version (mesh);
+
+  if (config->version <= old)
+    {
+      fq_mesh_log (mesh, false, "event=config-ignored version=%llu in_force=%llu",
+                   (unsigned long long)config->version, (unsigned long long)old);
+      return;
+    }
+  fq_config_unref (mesh->config);
+  mesh->config = fq_config_ref (config);
+  mesh->metrics.counters[FQ_METRIC_CONFIGS]++;
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_LIMITS)->limits = config->limits;
+  fq_mesh_log (mesh, false, "event=config-in-force version=%llu previous=%llu hosts=%zu",
+               (unsigned long long)config->version, (unsigned long long)old,
+               config->host_count);
+  fq_server_state_look (mesh);
+}
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -17,7 +17,6 @@
 
 #define FQ_STATUS_NOT_FOUND 404
 #define FQ_STATUS_SERVER_ERROR 500
-#define FQ_STATUS_BAD_GATEWAY 502
 #define FQ_STATUS_UNAVAILABLE 503
 #define FQ_STATUS_TIMEOUT 504
 
@@ -29,7 +28,6 @@
 #define FQ_STOPPING_TAKES_US                                                             \
   (3 * FQ_MICROSECONDS_PER_SECOND) /* requests that begin later could not end in time */
 #define FQ_RETRY_AFTER_DEFAULT_MS 400
-#define FQ_RETRY_AFTER_MIN_MS 100
 
 static fq_time_t
 ms_to_us (uint32_t ms)
@@ -37,28 +35,6 @@
   return (fq_time_t)ms * FQ_MICROSECONDS_PER_MS;
 }
 
-static void
-leave_gate (fq_mesh_t *mesh, fq_exchange_t *exchange)
-{
-  if (exchange->peer == NULL)
-    return;
-  fq_list_remove (&exchange->link);
-  exchange->peer->outstanding--;
-  exchange->peer = NULL;
-  fq_map_remove (&mesh->attempts, exchange->attempt);
-  exchange->attempt = 0;
-}
-
-static void
-free_exchange (fq_mesh_t *mesh, fq_exchange_t *exchange)
-{
-  leave_gate (mesh, exchange);
-  fq_map_remove (&mesh->exchanges, exchange->id);
-  fq_timers_cancel (&mesh->timers, &exchange->timer);
-  fq_http_message_unref (exchange->message);
-  free (exchange);
-}
-
 /* A call belongs to the work that our server does now for the request that it names. */
 static void
 adopt_parent (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *parent_id)
@@ -73,94 +49,6 @@
   exchange->repeat_of_parent = parent->offer.repeat;
 }
 
-static void
-tell_parent (fq_mesh_t *mesh, const fq_exchange_t *exchange)
-{
-  fq_gate_run_t *parent;
-
-  if (exchange->parent_id[0] == '\0')
-    return;
-  parent = fq_gate_run_of_request (mesh, exchange->parent_id);
-  if (parent != NULL)
-    parent->starved = true;
-}
-
-static void
-log_end (fq_mesh_t *mesh,
-         const fq_exchange_t *exchange,
-         uint16_t status,
-         const char *outcome,
-         const char *cause)
-{
-  fq_mesh_log (mesh, status >= FQ_STATUS_BAD_GATEWAY,
-               "event=request-end id=%s route=%s service=%s outcome=%s status=%u "
-               "cause=%s offers=%u reached=%u took_ms=%lld config=%llu",
-               exchange->request_id, exchange->route, exchange->service, outcome, status,
-               cause, exchange->offers, exchange->servers_reached,
-               (long long)((mesh->now - exchange->received) / FQ_MICROSECONDS_PER_MS),
-               (unsigned long long)exchange->config_version);
-}
-
-static void
-reply_own (fq_mesh_t *mesh,
-           fq_id_t request,
-           uint16_t status,
-           uint32_t retry_after_ms,
-           const char *text)
-{
-  fq_mesh_effect_t *effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_REPLY);
-
-  effect->reply.request = request;
-  effect->reply.status = status;
-  effect->reply.retry_after_ms = retry_after_ms;
-  effect->reply.text = text;
-}
-
-/* Spread, so that those that were refused together don't come back together. */
-static uint32_t
-spread_retry_after (fq_mesh_t *mesh, uint32_t ms)
-{
-  if (ms < FQ_RETRY_AFTER_MIN_MS)
-    ms = FQ_RETRY_AFTER_MIN_MS;
-  return ms * 3 / 4 + (uint32_t)fq_random_below (&mesh->random, ms / 2);
-}
-
-static void
-finish_not_run (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause)
-{
-  uint32_t retry_after_ms = exchange->retry_after_ms != 0 ? exchange->retry_after_ms
-                                                          : FQ_RETRY_AFTER_DEFAULT_MS;
-
-  tell_parent (mesh, exchange);
-  mesh->metrics.counters[FQ_METRIC_REFUSED]++;
-  log_end (mesh, exchange, FQ_STATUS_UNAVAILABLE, "not-run", cause);
-  reply_own (mesh, exchange->id, FQ_STATUS_UNAVAILABLE,
-             spread_retry_after (mesh, retry_after_ms), cause);
-  free_exchange (mesh, exchange);
-}
-
-static void
-finish_unknown (fq_mesh_t *mesh,
-                fq_exchange_t *exchange,
-                uint16_t status,
-                const char *cause)
-{
-  tell_parent (mesh, exchange);
-  mesh->metrics.counters[FQ_METRIC_FAILED]++;
-  log_end (mesh, exchange, status, "may-have-run", cause);
-  reply_own (mesh, exchange->id, status, 0, cause);
-  free_exchange (mesh, exchange);
-}
-
-static void
-give_up (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause)
-{
-  if (exchange->may_have_run)
-    finish_unknown (mesh, exchange, FQ_STATUS_BAD_GATEWAY, cause);
-  else
-    finish_not_run (mesh, exchange, cause);
-}
-
 static void
 send_message (fq_mesh_t *mesh, fq_exchange_t *exchange)
 {
@@ -242,18 +130,19 @@
 
   if (exchange->deadline - mesh->now < FQ_RETRY_MIN_LEFT_US)
     {
-      give_up (mesh, exchange, exchange->offers == 0 ? "no-time" : cause_if_none);
+      fq_exchange_give_up (mesh, exchange,
+                           exchange->offers == 0 ? "no-time" : cause_if_none);
       return;
     }
   if (exchange->offers >= FQ_OFFERS_MAX
       || exchange->servers_reached >= exchange->max_attempts)
     {
-      give_up (mesh, exchange, cause_if_none);
+      fq_exchange_give_up (mesh, exchange, cause_if_none);
       return;
     }
   peer = fq_choice_of_gate (mesh, exchange);
   if (peer == NULL)
-    give_up (mesh, exchange, cause_if_none);
+    fq_exchange_give_up (mesh, exchange, cause_if_none);
   else
     offer_to (mesh, exchange, peer);
 }
@@ -317,8 +206,9 @@
                "event=request-end id=%s outcome=not-run status=%d cause=%s config=%llu",
                request->request_id, FQ_STATUS_UNAVAILABLE, cause,
                (unsigned long long)fq_mesh_config_version (mesh));
-  reply_own (mesh, request->id, FQ_STATUS_UNAVAILABLE,
-             spread_retry_after (mesh, FQ_RETRY_AFTER_DEFAULT_MS), cause);
+  fq_exchange_reply_own (mesh, request->id, FQ_STATUS_UNAVAILABLE,
+                         fq_exchange_spread_retry_after (mesh, FQ_RETRY_AFTER_DEFAULT_MS),
+                         cause);
 }
 
 void
@@ -346,12 +236,12 @@
                    "event=request-end id=%s outcome=no-route status=404 cause=no-route "
                    "config=%llu",
                    request->request_id, (unsigned long long)mesh->config->version);
-      reply_own (mesh, request->id, FQ_STATUS_NOT_FOUND, 0, "no-route");
+      fq_exchange_reply_own (mesh, request->id, FQ_STATUS_NOT_FOUND, 0, "no-route");
       return;
     }
   exchange = new_exchange (mesh, request, route);
   if (fq_blame_crashes (&mesh->blame, exchange->fingerprint) >= FQ_BLAME_CRASHES_MAX)
-    finish_not_run (mesh, exchange, fq_refusal_name (FQ_REFUSAL_CRASHES));
+    fq_exchange_finish_not_run (mesh, exchange, fq_refusal_name (FQ_REFUSAL_CRASHES));
   else
     try_gate (mesh, exchange, "no-gate");
 }
@@ -365,7 +255,7 @@
     return;
   fq_mesh_to_gate (mesh, exchange->peer->address, &frame);
   exchange->may_have_run = exchange->may_have_run || exchange->handed;
-  leave_gate (mesh, exchange);
+  fq_exchange_leave_gate (mesh, exchange);
 }
 
 void
@@ -376,9 +266,9 @@
   if (exchange == NULL)
     return;
   mesh->metrics.counters[FQ_METRIC_CLIENTS_GONE]++;
-  log_end (mesh, exchange, 0, "client-gone", "client-gone");
+  fq_exchange_log_end (mesh, exchange, 0, "client-gone", "client-gone");
   cancel_attempt (mesh, exchange);
-  free_exchange (mesh, exchange);
+  fq_exchange_free (mesh, exchange);
 }
 
 void
@@ -386,9 +276,9 @@
 {
   cancel_attempt (mesh, exchange);
   if (!exchange->may_have_run && exchange->client_deadline > exchange->deadline)
-    finish_not_run (mesh, exchange, "timeout");
+    fq_exchange_finish_not_run (mesh, exchange, "timeout");
   else
-    finish_unknown (mesh, exchange, FQ_STATUS_TIMEOUT, "timeout");
+    fq_exchange_finish_unknown (mesh, exchange, FQ_STATUS_TIMEOUT, "timeout");
 }
 
 static void
@@ -402,9 +292,9 @@
   fq_histogram_add (&mesh->metrics.exchange_us, mesh->now - exchange->received);
   exchange->servers_reached++;
   if (frame->message->status >= FQ_STATUS_SERVER_ERROR)
-    tell_parent (mesh, exchange);
-  log_end (mesh, exchange, frame->message->status, "answered", "none");
-  free_exchange (mesh, exchange);
+    fq_exchange_tell_parent (mesh, exchange);
+  fq_exchange_log_end (mesh, exchange, frame->message->status, "answered", "none");
+  fq_exchange_free (mesh, exchange);
 }
 
 static void
@@ -431,12 +321,12 @@
 take_refusal (fq_mesh_t *mesh, fq_exchange_t *exchange, const fq_frame_t *frame)
 {
   log_attempt (mesh, exchange, frame);
-  leave_gate (mesh, exchange);
+  fq_exchange_leave_gate (mesh, exchange);
   if (frame->reached_server)
     exchange->servers_reached++;
   note_retry_after (exchange, frame->retry_after_ms);
   if (frame->cause == FQ_REFUSAL_CRASHES || frame->cause == FQ_REFUSAL_RETRY_BUDGET)
-    give_up (mesh, exchange, fq_refusal_name (frame->cause));
+    fq_exchange_give_up (mesh, exchange, fq_refusal_name (frame->cause));
   else
     try_gate (mesh, exchange, fq_refusal_name (frame->cause));
 }
@@ -444,13 +334,13 @@
 static void
 take_failure (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause)
 {
-  leave_gate (mesh, exchange);
+  fq_exchange_leave_gate (mesh, exchange);
   exchange->servers_reached++;
   exchange->may_have_run = true;
   if (exchange->idempotent && fq_blame_crashes (&mesh->blame, exchange->fingerprint) == 0)
     try_gate (mesh, exchange, cause);
   else
-    give_up (mesh, exchange, cause);
+    fq_exchange_give_up (mesh, exchange, cause);
 }
 
 void
@@ -521,7 +411,7 @@
           take_failure (mesh, exchange, "gate-lost");
           continue;
         }
-      leave_gate (mesh, exchange);
+      fq_exchange_leave_gate (mesh, exchange);
       try_gate (mesh, exchange, "gate-lost");
     }
 }
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -12,11 +12,6 @@
 #define FQ_GRANT_US (1 * FQ_MICROSECONDS_PER_SECOND) /* for the request to follow */
 #define FQ_OVERDUE_US                                                                    \
   (5 * FQ_MICROSECONDS_PER_SECOND) /* after its time, a run holds no room any more */
-#define FQ_WAIT_SHARE 0.35         /* of the time left, that waiting may take */
-#define FQ_WAIT_SHARE_LEAST 0.05   /* even when an answer will come late */
-#define FQ_SPREAD 1.5 /* most runs take no longer than that many times the mean */
-#define FQ_RETRY_RATIO_SHARE 0.85 /* of the allowed ratio */
-#define FQ_RETRY_SLACK_SHARE 0.4  /* of the allowed slack: a restart begins it anew */
 #define FQ_RETRY_AFTER_BASE_MS 150
 #define FQ_RETRY_AFTER_RANK_MS 120 /* those of a lower rank come back first */
 #define FQ_KEY_MIX 0x9E3779B97F4A7C15ULL
@@ -36,35 +31,6 @@
   return run != NULL && run->asker == asker && run->attempt == attempt ? run : NULL;
 }
 
-/* How long new work waits, of the rank that waits longest. */
-static fq_time_t
-longest_wait (const fq_waiting_t *waiting)
-{
-  fq_time_t longest = 0;
-
-  for (uint32_t rank = FQ_INNER_RANKS; rank < FQ_RANKS; rank++)
-    {
-      fq_time_t wait = fq_waiting_time (waiting, rank);
-
-      longest = wait > longest ? wait : longest;
-    }
-  return longest;
-}
-
-void
-fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out)
-{
-  const fq_waiting_t *waiting = &mesh->gate.waiting;
-
-  *out = (fq_room_t){
-    .limit = waiting->limit,
-    .in_flight = waiting->in_flight,
-    .queued = waiting->queued,
-    .wait_ms = (uint32_t)(longest_wait (waiting) / FQ_MICROSECONDS_PER_MS),
-    .config_version = fq_mesh_config_version (mesh),
-  };
-}
-
 bool
 fq_gate_takes_work (const fq_mesh_t *mesh)
 {
@@ -221,31 +187,13 @@
     grant (mesh, run);
 }
 
-/* How long a request may wait: it has to be answered before its time is over, and should
- * be while its answer is worth most. */
-static fq_time_t
-wait_max (const fq_mesh_t *mesh, const fq_offer_t *offer)
-{
-  double left = (double)offer->remaining_ms * FQ_MICROSECONDS_PER_MS;
-  double target = (double)offer->target_latency_ms * FQ_MICROSECONDS_PER_MS;
-  double run = (double)fq_waiting_expect (&mesh->gate.waiting, offer->route);
-  double longest = left * FQ_WAIT_SHARE;
-
-  if (left - FQ_SPREAD * run < longest)
-    longest = left - FQ_SPREAD * run;
-  if (target > 0 && target - run < longest)
-    longest = target - run;
-  if (longest < left * FQ_WAIT_SHARE_LEAST)
-    longest = left * FQ_WAIT_SHARE_LEAST;
-  return (fq_time_t)longest;
-}
-
 static void
 wait_for_room (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
   run->stage = FQ_STAGE_WAITING;
   fq_waiting_push (&mesh->gate.waiting, &run->waiting);
-  fq_timers_arm (&mesh->timers, &run->timer, run->arrived + wait_max (mesh, &run->offer));
+  fq_timers_arm (&mesh->timers, &run->timer,
+                 run->arrived + fq_gate_wait_max (mesh, &run->offer));
 }
 
 void
@@ -263,66 +211,6 @@
     }
 }
 
-static bool
-keeps_chain (fq_mesh_t *mesh, const fq_offer_t *offer, fq_time_t wait)
-{
-  fq_time_t run = fq_waiting_expect (&mesh->gate.waiting, offer->route);
-
-  if (offer->rank >= FQ_INNER_RANKS)
-    return true;
-  return fq_chain_shed_keeps (&mesh->gate.chain_shed[offer->rank], mesh->now,
-                              offer->chain, wait, run);
-}
-
-static fq_refusal_t
-check_room (fq_mesh_t *mesh, const fq_offer_t *offer)
-{
-  const fq_waiting_t *waiting = &mesh->gate.waiting;
-  fq_time_t wait = fq_waiting_time (waiting, offer->rank);
-
-  if (offer->remaining_ms == 0)
-    return FQ_REFUSAL_EXPIRED;
-  if ((wait > 0 && wait > wait_max (mesh, offer)) || !keeps_chain (mesh, offer, wait))
-    return FQ_REFUSAL_NO_ROOM;
-  return FQ_REFUSAL_NONE;
-}
-
-static bool
-may_repeat (fq_mesh_t *mesh)
-{
-  const fq_mesh_bounds_t *bounds = &mesh->bounds;
-  size_t gates = fq_peer_count_gates (mesh, mesh->gate.server.service);
-  double slack = (double)bounds->retry_slack / (double)(gates > 0 ? gates : 1);
-
-  return fq_repeat_budget_spend (&mesh->gate.budget, mesh->now,
-                                 bounds->retry_ratio * FQ_RETRY_RATIO_SHARE,
-                                 slack * FQ_RETRY_SLACK_SHARE);
-}
-
-static fq_refusal_t
-check_offer (fq_mesh_t *mesh, const fq_offer_t *offer)
-{
-  fq_refusal_t cause;
-
-  if (!fq_gate_takes_work (mesh)
-      || strcmp (mesh->gate.server.service, offer->service) != 0)
-    return FQ_REFUSAL_NO_SERVER;
-  if (fq_blame_crashes (&mesh->blame, offer->fingerprint) >= FQ_BLAME_CRASHES_MAX)
-    return FQ_REFUSAL_CRASHES;
-  cause = check_room (mesh, offer);
-  if (cause != FQ_REFUSAL_NONE)
-    return cause;
-  if (!offer->repeat)
-    {
-      fq_repeat_budget_first (&mesh->gate.budget, mesh->now);
-      return FQ_REFUSAL_NONE;
-    }
-  if (!may_repeat (mesh))
-    return FQ_REFUSAL_RETRY_BUDGET;
-  mesh->metrics.counters[FQ_METRIC_REPEATS]++;
-  return FQ_REFUSAL_NONE;
-}
-
 static fq_gate_run_t *
 new_run (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
 {
@@ -355,7 +243,7 @@
 static void
 take_offer (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame)
 {
-  fq_refusal_t cause = check_offer (mesh, &frame->offer);
+  fq_refusal_t cause = fq_gate_check_offer (mesh, &frame->offer);
   fq_gate_run_t *run;
 
   if (cause != FQ_REFUSAL_NONE)
@@ -489,45 +377,6 @@
   }
 }
 
-static void
-tell_blame (fq_mesh_t *mesh, const uint64_t *fingerprints, size_t count)
-{
-  uint64_t crash = fq_random_next (&mesh->random);
-  size_t cursor = 0;
-  const fq_asker_t *asker;
-
-  for (size_t i = 0; i < count; i++)
-    fq_blame_add (&mesh->blame, mesh->now, fingerprints[i], crash);
-  while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
-    {
-      fq_frame_t frame = { .kind = FQ_FRAME_BLAME, .number = crash };
-
-      frame.fingerprints = malloc (count * sizeof *fingerprints);
-      if (frame.fingerprints == NULL)
-        abort ();
-      memcpy (frame.fingerprints, fingerprints, count * sizeof *fingerprints);
-      frame.fingerprint_count = count;
-      fq_mesh_to_asker (mesh, asker->id, &frame);
-    }
-}
-
-static void
-server_is_down (fq_mesh_t *mesh)
-{
-  uint64_t fingerprints[FQ_CRASH_LOST_MAX];
-  size_t count = fq_crash_watch_take (&mesh->gate.crash, mesh->now, fingerprints);
-
-  if (mesh->gate.server.phase != FQ_PHASE_ABSENT)
-    mesh->metrics.counters[FQ_METRIC_SERVER_CRASHES]++;
-  if (count > 0)
-    {
-      fq_mesh_log (mesh, true, "event=server-crash instance=%s blamed=%zu",
-                   mesh->gate.server.instance, count);
-      tell_blame (mesh, fingerprints, count);
-    }
-  fq_server_state_lost (mesh, "connection-refused");
-}
-
 static void
 finish_answered (fq_mesh_t *mesh, fq_gate_run_t *run, fq_http_message_t *answer)
 {
@@ -604,7 +453,7 @@
     {
     case FQ_SERVER_REFUSED:
       refuse_run (mesh, run, FQ_REFUSAL_CONNECT, false);
-      server_is_down (mesh);
+      fq_server_crash_found (mesh);
       break;
     case FQ_SERVER_LOST:
       fq_crash_watch_lost (&mesh->gate.crash, mesh->now, run->offer.fingerprint);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -1,7 +1,5 @@
 #include "mesh/mesh.h"
 
-#include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,109 +7,9 @@
 #include "mesh/mesh_private.h"
 #include "util/text.h"
 
-#define FQ_LOG_LINE_BYTES 384
-#define FQ_CONFIG_WAIT_US                                                                \
-  (300 * FQ_MICROSECONDS_PER_MS) /* for the store, before another node is asked */
 #define FQ_NODES_LONELY_US (2 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_NODES_US (60 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_READY_ALONE_US (1 * FQ_MICROSECONDS_PER_SECOND)
-#define FQ_STOP_CHECK_US (100 * FQ_MICROSECONDS_PER_MS)
-#define FQ_STOP_SERVE_US                                                                 \
-  (2200 * FQ_MICROSECONDS_PER_MS) /* clients learn in this time that it is not ready */
-#define FQ_STOP_MARGIN_US                                                                \
-  (700 * FQ_MICROSECONDS_PER_MS) /* before the process is killed */
-
-/* A frame between our own entry and gate, which needs no connection. */
-typedef struct
-{
-  fq_list_t link;
-  bool to_gate;
-  fq_frame_t frame;
-} loopback_t;
-
-fq_mesh_effect_t *
-fq_mesh_effect (fq_mesh_t *mesh, fq_mesh_effect_kind_t kind)
-{
-  fq_mesh_effects_t *effects = mesh->effects;
-
-  if (effects->count == effects->capacity)
-    {
-      size_t capacity = effects->capacity == 0 ? 16 : effects->capacity * 2;
-      fq_mesh_effect_t *grown
-          = realloc (effects->items, capacity * sizeof *effects->items);
-
-      if (grown == NULL)
-        abort ();
-      effects->items = grown;
-      effects->capacity = capacity;
-    }
-  effects->items[effects->count] = (fq_mesh_effect_t){ .kind = kind };
-  return &effects->items[effects->count++];
-}
-
-static void
-clear_effect (fq_mesh_effect_t *effect)
-{
-  switch (effect->kind)
-    {
-    case FQ_MESH_EFFECT_REPLY:
-      fq_http_message_unref (effect->reply.answer);
-      break;
-    case FQ_MESH_EFFECT_TO_GATE:
-    case FQ_MESH_EFFECT_TO_ASKER:
-      fq_frame_clear (effect->frame.frame);
-      free (effect->frame.frame);
-      break;
-    case FQ_MESH_EFFECT_SERVER_CALL:
-      fq_http_message_unref (effect->server_call.message);
-      break;
-    case FQ_MESH_EFFECT_LOG:
-      free (effect->log.text);
-      break;
-    case FQ_MESH_EFFECT_LINK_OPEN:
-    case FQ_MESH_EFFECT_LINK_CLOSE:
-    case FQ_MESH_EFFECT_SERVER_ABORT:
-    case FQ_MESH_EFFECT_SERVER_FORGET:
-    case FQ_MESH_EFFECT_SERVER_PROBE:
-    case FQ_MESH_EFFECT_LIMITS:
-    case FQ_MESH_EFFECT_FIND_NODES:
-    case FQ_MESH_EFFECT_RETIRE:
-    case FQ_MESH_EFFECT_STOPPED:
-      break;
-    }
-}
-
-void
-fq_mesh_effects_clear (fq_mesh_effects_t *effects)
-{
-  for (size_t i = 0; i < effects->count; i++)
-    clear_effect (&effects->items[i]);
-  effects->count = 0;
-}
-
-void
-fq_mesh_effects_free (fq_mesh_effects_t *effects)
-{
-  fq_mesh_effects_clear (effects);
-  free (effects->items);
-  *effects = (fq_mesh_effects_t){ 0 };
-}
-
-void
-fq_mesh_log (fq_mesh_t *mesh, bool warning, const char *format, ...)
-{
-  fq_mesh_effect_t *effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_LOG);
-  char line[FQ_LOG_LINE_BYTES];
-  va_list arguments;
-
-  va_start (arguments, format);
-  vsnprintf (line, sizeof line, format, arguments);
-  va_end (arguments);
-  effect->log.warning = warning;
-  effect->log.text = strdup (line);
-  if (effect->log.text == NULL)
-    abort ();
-}
 
 fq_id_t
 fq_mesh_next_id (fq_mesh_t *mesh)
@@ -119,150 +17,6 @@
   return ++mesh->next_id;
 }
 
-static void
-loop_back (fq_mesh_t *mesh, bool to_gate, fq_frame_t *frame)
-{
-  loopback_t *loopback = calloc (1, sizeof *loopback);
-
-  if (loopback == NULL)
-    abort ();
-  loopback->to_gate = to_gate;
-  loopback->frame = *frame;
-  fq_list_append (&mesh->loopback, &loopback->link);
-}
-
-static fq_frame_t *
-copy_frame (const fq_frame_t *frame)
-{
-  fq_frame_t *copy = malloc (sizeof *copy);
-
-  if (copy == NULL)
-    abort ();
-  *copy = *frame;
-  return copy;
-}
-
-void
-fq_mesh_to_gate (fq_mesh_t *mesh, fq_node_address_t node, fq_frame_t *frame)
-{
-  fq_mesh_effect_t *effect;
-
-  if (node == mesh->address)
-    {
-      loop_back (mesh, true, frame);
-      return;
-    }
-  frame->room.config_version = fq_mesh_config_version (mesh);
-  effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_TO_GATE);
-  effect->frame.node = node;
-  effect->frame.frame = copy_frame (frame);
-}
-
-void
-fq_mesh_to_asker (fq_mesh_t *mesh, fq_id_t asker, fq_frame_t *frame)
-{
-  fq_mesh_effect_t *effect;
-
-  fq_gate_room (mesh, &frame->room);
-  if (asker == FQ_ASKER_SELF)
-    {
-      loop_back (mesh, false, frame);
-      return;
-    }
-  effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_TO_ASKER);
-  effect->frame.asker = asker;
-  effect->frame.frame = copy_frame (frame);
-}
-
-static void
-deliver_loopback (fq_mesh_t *mesh)
-{
-  fq_list_t *link;
-
-  while ((link = fq_list_first (&mesh->loopback)) != NULL)
-    {
-      loopback_t *loopback = FQ_LIST_ENTRY (link, loopback_t, link);
-
-      fq_list_remove (link);
-      if (loopback->to_gate)
-        fq_gate_frame (mesh, FQ_ASKER_SELF, &loopback->frame);
-      else
-        fq_peer_frame (mesh, mesh->self, &loopback->frame);
-      fq_frame_clear (&loopback->frame);
-      free (loopback);
-    }
-}
-
-static void
-send_config (fq_mesh_t *mesh, fq_id_t asker, fq_node_address_t node, uint64_t known)
-{
-  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG };
-
-  if (fq_mesh_config_version (mesh) <= known)
-    return;
-  frame.number = mesh->config->version;
-  frame.document_size = mesh->config->document_size;
-  frame.document = malloc (frame.document_size);
-  if (frame.document == NULL)
-    abort ();
-  memcpy (frame.document, mesh->config->document, frame.document_size);
-  if (asker != 0)
-    fq_mesh_to_asker (mesh, asker, &frame);
-  else
-    fq_mesh_to_gate (mesh, node, &frame);
-}
-
-static void
-ask_for_config (fq_mesh_t *mesh)
-{
-  fq_frame_t frame = { .kind = FQ_FRAME_CONFIG_WANTED };
-  fq_peer_t *peer = fq_map_get (&mesh->peers, mesh->newest_at);
-
-  if (mesh->newest_seen <= fq_mesh_config_version (mesh) || peer == NULL
-      || peer->link != FQ_LINK_UP)
-    return;
-  frame.number = fq_mesh_config_version (mesh);
-  fq_mesh_log (mesh, false, "event=config-wanted have=%llu seen=%llu node=%08x",
-               (unsigned long long)frame.number, (unsigned long long)mesh->newest_seen,
-               mesh->newest_at);
-  fq_mesh_to_gate (mesh, mesh->newest_at, &frame);
-  fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
-}
-
-void
-fq_mesh_saw_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version)
-{
-  if (version <= fq_mesh_config_version (mesh))
-    return;
-  mesh->newest_seen = version;
-  mesh->newest_at = node;
-  if (mesh->config == NULL)
-    ask_for_config (mesh);
-  else if (mesh->config_timer.position == 0)
-    fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
-}
-
-static void
-take_config (fq_mesh_t *mesh, fq_config_t *config)
-{
-  uint64_t old = fq_mesh_config_version (mesh);
-
-  if (config->version <= old)
-    {
-      fq_mesh_log (mesh, false, "event=config-ignored version=%llu in_force=%llu",
-                   (unsigned long long)config->version, (unsigned long long)old);
-      return;
-    }
-  fq_config_unref (mesh->config);
-  mesh->config = fq_config_ref (config);
-  mesh->metrics.counters[FQ_METRIC_CONFIGS]++;
-  fq_mesh_effect (mesh, FQ_MESH_EFFECT_LIMITS)->limits = config->limits;
-  fq_mesh_log (mesh, false, "event=config-in-force version=%llu previous=%llu hosts=%zu",
-               (unsigned long long)config->version, (unsigned long long)old,
-               config->host_count);
-  fq_server_state_look (mesh);
-}
-
 static void
 learn_nodes (fq_mesh_t *mesh, const fq_node_address_t *addresses, size_t count)
 {
@@ -320,7 +74,7 @@
       take_hello (mesh, asker, event->frame.asker_address, frame);
       break;
     case FQ_FRAME_CONFIG_WANTED:
-      send_config (mesh, asker, 0, frame->number);
+      fq_mesh_send_config (mesh, asker, frame->number);
       break;
     case FQ_FRAME_OFFER:
     case FQ_FRAME_MESSAGE:
@@ -361,46 +115,6 @@
   fq_gate_asker_lost (mesh, id);
 }
 
-/* Until clients know that the node leaves, it serves on as entry and as gate. Then what
- * is under way ends; at last the process ends before it would be killed. */
-static void
-go_on_stopping (fq_mesh_t *mesh)
-{
-  fq_time_t since = mesh->now - mesh->stopping_since;
-  fq_time_t grace = (fq_time_t)mesh->bounds.grace_ms * FQ_MICROSECONDS_PER_MS;
-  bool idle = mesh->exchanges.count == 0 && mesh->gate.runs_by_id.count == 0;
-
-  if (since >= FQ_STOP_SERVE_US && !mesh->closing)
-    {
-      mesh->closing = true;
-      fq_server_state_tell (mesh);
-      fq_gate_refuse_waiting (mesh, FQ_REFUSAL_NO_SERVER);
-    }
-  if ((idle && mesh->closing) || since >= grace - FQ_STOP_MARGIN_US)
-    {
-      fq_mesh_log (mesh, !idle, "event=stopped exchanges=%zu runs=%zu after_ms=%lld",
-                   mesh->exchanges.count, mesh->gate.runs_by_id.count,
-                   (long long)(since / FQ_MICROSECONDS_PER_MS));
-      fq_entry_give_up_all (mesh);
-      fq_mesh_effect (mesh, FQ_MESH_EFFECT_STOPPED);
-      return;
-    }
-  fq_timers_arm (&mesh->timers, &mesh->stop_timer, mesh->now + FQ_STOP_CHECK_US);
-}
-
-static void
-begin_stopping (fq_mesh_t *mesh)
-{
-  if (mesh->stopping)
-    return;
-  mesh->stopping = true;
-  mesh->stopping_since = mesh->now;
-  fq_mesh_log (mesh, false, "event=stopping exchanges=%zu runs=%zu",
-               mesh->exchanges.count, mesh->gate.runs_by_id.count);
-  fq_mesh_effect (mesh, FQ_MESH_EFFECT_RETIRE);
-  go_on_stopping (mesh);
-}
-
 static void
 fire (fq_mesh_t *mesh, fq_timer_entry_t *timer)
 {
@@ -422,10 +136,10 @@
       look_for_nodes (mesh);
       break;
     case FQ_MESH_TIMER_CONFIG:
-      ask_for_config (mesh);
+      fq_mesh_ask_for_config (mesh);
       break;
     case FQ_MESH_TIMER_STOP:
-      go_on_stopping (mesh);
+      fq_mesh_go_on_stopping (mesh);
       break;
     }
 }
@@ -479,13 +193,13 @@
       fq_server_state_probed (mesh, event->instance);
       break;
     case FQ_MESH_EVENT_CONFIG:
-      take_config (mesh, event->config);
+      fq_mesh_take_config (mesh, event->config);
       break;
     case FQ_MESH_EVENT_NODES:
       learn_nodes (mesh, event->nodes.addresses, event->nodes.count);
       break;
     case FQ_MESH_EVENT_STOP:
-      begin_stopping (mesh);
+      fq_mesh_begin_stopping (mesh);
       break;
     }
 }
@@ -498,11 +212,11 @@
   mesh->now = event->now;
   mesh->effects = effects;
   see (mesh, event);
-  deliver_loopback (mesh);
+  fq_mesh_deliver_loopback (mesh);
   while ((timer = fq_timers_pop (&mesh->timers, mesh->now)) != NULL)
     {
       fire (mesh, timer);
-      deliver_loopback (mesh);
+      fq_mesh_deliver_loopback (mesh);
     }
   mesh->effects = NULL;
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -139,8 +139,6 @@
   fq_server_t server;
   uint64_t server_started_ms;
   uint64_t server_sequence;
-  uint32_t slots;
-  fq_time_t reported_at;
   bool probed; /* the server was asked for its instance, once after the start */
   fq_time_t answered_at;
   fq_time_t drain_until;
@@ -195,14 +193,28 @@
   fq_timer_entry_t stop_timer;
 };
 
-/* mesh.c */
+/* effects.c */
 fq_mesh_effect_t *fq_mesh_effect (fq_mesh_t *mesh, fq_mesh_effect_kind_t kind);
 void fq_mesh_log (fq_mesh_t *mesh, bool warning, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
-fq_id_t fq_mesh_next_id (fq_mesh_t *mesh);
+
+/* delivery.c: frames to other nodes, and between our own entry and gate. */
 void fq_mesh_to_gate (fq_mesh_t *mesh, fq_node_address_t node, fq_frame_t *frame);
 void fq_mesh_to_asker (fq_mesh_t *mesh, fq_id_t asker, fq_frame_t *frame);
+void fq_mesh_deliver_loopback (fq_mesh_t *mesh);
+
+/* config_state.c: the configuration in force. */
+void fq_mesh_take_config (fq_mesh_t *mesh, fq_config_t *config);
+void fq_mesh_send_config (fq_mesh_t *mesh, fq_id_t asker, uint64_t known);
 void fq_mesh_saw_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version);
+void fq_mesh_ask_for_config (fq_mesh_t *mesh);
+
+/* stopping.c: the graceful shutdown. */
+void fq_mesh_begin_stopping (fq_mesh_t *mesh);
+void fq_mesh_go_on_stopping (fq_mesh_t *mesh);
+
+/* mesh.c */
+fq_id_t fq_mesh_next_id (fq_mesh_t *mesh);
 
 /* entry.c: requests that begin at this machine. */
 void fq_entry_receive (fq_mesh_t *mesh, const fq_mesh_request_t *request);
@@ -213,6 +225,29 @@
 void fq_entry_give_up_all (fq_mesh_t *mesh);
 void fq_entry_free_all (fq_mesh_t *mesh);
 
+/* exchange_end.c: how exchanges end. */
+void fq_exchange_leave_gate (fq_mesh_t *mesh, fq_exchange_t *exchange);
+void fq_exchange_free (fq_mesh_t *mesh, fq_exchange_t *exchange);
+void fq_exchange_tell_parent (fq_mesh_t *mesh, const fq_exchange_t *exchange);
+void fq_exchange_log_end (fq_mesh_t *mesh,
+                          const fq_exchange_t *exchange,
+                          uint16_t status,
+                          const char *outcome,
+                          const char *cause);
+void fq_exchange_reply_own (fq_mesh_t *mesh,
+                            fq_id_t request,
+                            uint16_t status,
+                            uint32_t retry_after_ms,
+                            const char *text);
+uint32_t fq_exchange_spread_retry_after (fq_mesh_t *mesh, uint32_t ms);
+void
+fq_exchange_finish_not_run (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause);
+void fq_exchange_finish_unknown (fq_mesh_t *mesh,
+                                 fq_exchange_t *exchange,
+                                 uint16_t status,
+                                 const char *cause);
+void fq_exchange_give_up (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *cause);
+
 /* gate.c: runs at our server. */
 void fq_gate_frame (fq_mesh_t *mesh, fq_id_t asker, const fq_frame_t *frame);
 void fq_gate_asker_lost (fq_mesh_t *mesh, fq_id_t asker);
@@ -223,12 +258,16 @@
 void fq_gate_failed (fq_mesh_t *mesh, fq_id_t run, fq_server_failure_t failure);
 void fq_gate_run_timer (fq_mesh_t *mesh, fq_gate_run_t *run);
 void fq_gate_refuse_waiting (fq_mesh_t *mesh, fq_refusal_t cause);
-void fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out);
 bool fq_gate_takes_work (const fq_mesh_t *mesh);
 fq_gate_run_t *fq_gate_run_of_request (const fq_mesh_t *mesh, const char *request_id);
 void fq_gate_progress (fq_mesh_t *mesh);
 void fq_gate_free_all (fq_mesh_t *mesh);
 
+/* gate_admission.c: whether a request is taken, and how long it waits. */
+void fq_gate_room (const fq_mesh_t *mesh, fq_room_t *out);
+fq_refusal_t fq_gate_check_offer (fq_mesh_t *mesh, const fq_offer_t *offer);
+fq_time_t fq_gate_wait_max (const fq_mesh_t *mesh, const fq_offer_t *offer);
+
 /* server_state.c: what our server says of itself. */
 void fq_server_state_report (fq_mesh_t *mesh, const fq_server_report_t *report);
 void fq_server_state_leave (fq_mesh_t *mesh, const fq_server_report_t *report);
@@ -238,6 +277,9 @@
 void fq_server_state_lost (fq_mesh_t *mesh, const char *reason);
 void fq_server_state_tell (fq_mesh_t *mesh);
 
+/* server_crash.c: our server takes no connection. */
+void fq_server_crash_found (fq_mesh_t *mesh);
+
 /* peers.c: the other nodes. */
 fq_peer_t *fq_peer_get (fq_mesh_t *mesh, fq_node_address_t address);
 fq_peer_t *fq_peer_learn (fq_mesh_t *mesh, fq_node_address_t address, bool heard);
--- /dev/null
+++ b/src/mesh/server_crash.c
@@ -0,0 +1,46 @@
+/**
+ * DOC: The server beside the node was found down: who is blamed, and who is told.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+static void
+tell_blame (fq_mesh_t *mesh, const uint64_t *fingerprints, size_t count)
+{
+  uint64_t crash = fq_random_next (&mesh->random);
+  size_t cursor = 0;
+  const fq_asker_t *asker;
+
+  for (size_t i = 0; i < count; i++)
+    fq_blame_add (&mesh->blame, mesh->now, fingerprints[i], crash);
+  while ((asker = fq_map_next (&mesh->askers, &cursor)) != NULL)
+    {
+      fq_frame_t frame = { .kind = FQ_FRAME_BLAME, .number = crash };
+
+      frame.fingerprints = malloc (count * sizeof *fingerprints);
+      if (frame.fingerprints == NULL)
+        abort ();
+      memcpy (frame.fingerprints, fingerprints, count * sizeof *fingerprints);
+      frame.fingerprint_count = count;
+      fq_mesh_to_asker (mesh, asker->id, &frame);
+    }
+}
+
+void
+fq_server_crash_found (fq_mesh_t *mesh)
+{
+  uint64_t fingerprints[FQ_CRASH_LOST_MAX];
+  size_t count = fq_crash_watch_take (&mesh->gate.crash, mesh->now, fingerprints);
+
+  if (mesh->gate.server.phase != FQ_PHASE_ABSENT)
+    mesh->metrics.counters[FQ_METRIC_SERVER_CRASHES]++;
+  if (count > 0)
+    {
+      fq_mesh_log (mesh, true, "event=server-crash instance=%s blamed=%zu",
+                   mesh->gate.server.instance, count);
+      tell_blame (mesh, fingerprints, count);
+    }
+  fq_server_state_lost (mesh, "connection-refused");
+}
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -121,7 +121,6 @@
 {
   uint32_t limit = (uint32_t)(slots * FQ_LIMIT_SHARE);
 
-  gate->slots = slots;
   gate->waiting.limit = limit > 0 ? limit : 1;
 }
 
@@ -142,7 +141,6 @@
     take_start (mesh, report);
   gate->server_sequence = report->sequence;
   gate->server_started_ms = report->started_ms;
-  gate->reported_at = mesh->now;
   if (gate->drain_until != 0)
     return;
   set_limit (gate, report->slots);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,25 +6,14 @@
 #include <time.h>
 
 #include "config_document.h"
-#include "exchange.h"
 #include "filbertquay/errors.h"
-#include "http/server.h"
 #include "node/event_log.h"
-#include "node/links.h"
-#include "node/server_calls.h"
-#include "node/store_watch.h"
-#include "server_report.h"
+#include "node/node_private.h"
 #include "util/text.h"
 #include "util/timers.h"
 
-#define FQ_STATUS_OK 200
-#define FQ_STATUS_BAD_REQUEST 400
-#define FQ_STATUS_NOT_FOUND 404
-#define FQ_STATUS_UNAVAILABLE 503
 #define FQ_BODIES_SHARE 2 /* of the memory, a half is for bodies */
 #define FQ_BYTES_PER_MB (1024u * 1024u)
-#define FQ_RESERVED_DESCRIPTORS 600 /* for links, servers and files */
-#define FQ_PATH_MAX_BYTES 1024
 
 /* An event that came up while effects were carried out. */
 typedef struct
@@ -33,28 +22,6 @@
   fq_mesh_event_t event;
 } pending_t;
 
-struct fq_node
-{
-  fq_io_t io;
-  fq_node_settings_t settings;
-  char path[FQ_PATH_MAX_BYTES];
-  struct timespec changed; /* when the settings file was last changed */
-  fq_mesh_t *mesh;
-  fq_mesh_effects_t effects;
-  fq_list_t pending;
-  bool busy;
-  ev_timer timer;
-  fq_time_t timer_at;
-  fq_http_server_t *requests;
-  fq_http_server_t *readiness;
-  fq_http_server_t *reports;
-  fq_http_server_t *metrics;
-  fq_links_t *links;
-  fq_server_calls_t *server;
-  fq_store_watch_t *store;
-  fq_node_address_t address;
-};
-
 static fq_time_t
 monotonic_now (void)
 {
@@ -64,37 +31,6 @@
   return (fq_time_t)now.tv_sec * FQ_MICROSECONDS_PER_SECOND + now.tv_nsec / 1000;
 }
 
-static void
-set_limits (fq_node_t *node, const fq_request_limits_t *limits)
-{
-  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
-
-  options.limits.head_bytes = limits->head_bytes;
-  options.limits.body_bytes = limits->body_bytes;
-  options.head_timeout_ms = limits->head_timeout_ms;
-  options.idle_timeout_ms = limits->idle_timeout_ms;
-  options.connections_max = node->settings.descriptors > 2 * FQ_RESERVED_DESCRIPTORS
-                                ? node->settings.descriptors - FQ_RESERVED_DESCRIPTORS
-                                : node->settings.descriptors / 2;
-  fq_http_server_set_options (node->requests, &options);
-}
-
-static void
-reply (fq_node_t *node, const fq_mesh_effect_t *effect)
-{
-  fq_http_message_t *own;
-
-  if (effect->reply.answer != NULL)
-    {
-      fq_http_server_reply (node->requests, effect->reply.request, effect->reply.answer);
-      return;
-    }
-  own = fq_platform_own_answer (effect->reply.status, effect->reply.retry_after_ms,
-                                effect->reply.text);
-  fq_http_server_reply (node->requests, effect->reply.request, own);
-  fq_http_message_unref (own);
-}
-
 static void
 retire (fq_node_t *node)
 {
@@ -107,7 +43,7 @@
   switch (effect->kind)
     {
     case FQ_MESH_EFFECT_REPLY:
-      reply (node, effect);
+      fq_node_http_reply (node, effect);
       break;
     case FQ_MESH_EFFECT_LINK_OPEN:
       fq_links_connect (node->links, effect->node);
@@ -134,7 +70,7 @@
       fq_server_calls_probe (node->server, effect->path);
       break;
     case FQ_MESH_EFFECT_LIMITS:
-      set_limits (node, &effect->limits);
+      fq_node_http_set_limits (node, &effect->limits);
       break;
     case FQ_MESH_EFFECT_FIND_NODES:
       fq_store_watch_find_nodes (node->store);
@@ -198,8 +134,8 @@
 
 /* The reducer is never entered twice: what comes up meanwhile waits. Only events without
  * borrowed pointers, and requests, come up while effects are carried out. */
-static void
-feed (fq_node_t *node, fq_mesh_event_t *event)
+void
+fq_node_feed (fq_node_t *node, fq_mesh_event_t *event)
 {
   fq_list_t *link;
 
@@ -231,91 +167,11 @@
 
   (void)loop;
   (void)events;
-  feed (timer->data, &event);
-}
-
-static void
-on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
-{
-  fq_node_t *node = context;
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
-
-  (void)from;
-  event.request.id = id;
-  event.request.message = message;
-  fq_platform_read_request (message, &event.request);
-  feed (node, &event);
-}
-
-static void
-on_client_gone (void *context, fq_id_t id)
-{
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CLIENT_GONE, .request_id = id };
-
-  feed (context, &event);
-}
-
-static void
-on_malformed (void *context, uint16_t status, const char *reason)
-{
-  (void)context;
-  fq_event_log_printf (true, "event=request-malformed status=%u reason=\"%s\"", status,
-                       reason);
-}
-
-static const fq_http_server_handlers_t request_handlers = {
-  .request = on_request,
-  .gone = on_client_gone,
-  .malformed = on_malformed,
-};
-
-static void
-answer (fq_http_server_t *server, fq_id_t id, uint16_t status, const char *text)
-{
-  fq_http_message_t *message = fq_platform_own_answer (status, 0, text);
-
-  fq_http_server_reply (server, id, message);
-  fq_http_message_unref (message);
-}
-
-static void
-on_readiness (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
-{
-  fq_node_t *node = context;
-
-  (void)from;
-  if (!fq_platform_is_readiness (message))
-    answer (node->readiness, id, FQ_STATUS_NOT_FOUND, NULL);
-  else if (fq_mesh_is_ready (node->mesh))
-    answer (node->readiness, id, FQ_STATUS_OK, NULL);
-  else
-    answer (node->readiness, id, FQ_STATUS_UNAVAILABLE, NULL);
+  fq_node_feed (timer->data, &event);
 }
 
-static const fq_http_server_handlers_t readiness_handlers = { .request = on_readiness };
-
-static void
-on_metrics (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
-{
-  fq_node_t *node = context;
-  fq_buffer_t text = { 0 };
-
-  (void)message;
-  (void)from;
-  fq_mesh_write_metrics (node->mesh, &text);
-  fq_buffer_printf (&text,
-                    "# TYPE fq_log_dropped_total counter\n"
-                    "fq_log_dropped_total %llu\n",
-                    (unsigned long long)fq_event_log_dropped ());
-  fq_buffer_add (&text, "", 1);
-  answer (node->metrics, id, FQ_STATUS_OK, (const char *)fq_buffer_bytes (&text));
-  fq_buffer_clear (&text);
-}
-
-static const fq_http_server_handlers_t metrics_handlers = { .request = on_metrics };
-
-static bool
-file_changed (fq_node_t *node)
+bool
+fq_node_file_changed (fq_node_t *node)
 {
   struct stat status;
 
@@ -328,44 +184,12 @@
   return true;
 }
 
-static void
-on_report (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
-{
-  fq_node_t *node = context;
-  fq_mesh_event_t event = { 0 };
-  fq_platform_saying_t saying;
-  char address[FQ_ADDRESS_BYTES];
-  int error = fq_platform_read_report (&saying, &event.report, address, message);
-
-  (void)from;
-  if (file_changed (node))
-    fq_node_reload (node);
-  if (error == FQ_OK && saying == FQ_PLATFORM_REPORT
-      && strcmp (address, node->settings.server_address) != 0)
-    error = fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_INVALID,
-                          "report: '%s' is not our server's address", address);
-  if (error < 0)
-    {
-      fq_event_log_printf (true, "event=report-refused fault=\"%s\"",
-                           fq_error_last ()->message);
-      answer (node->reports, id,
-              error == FQ_ERROR_NOTFOUND ? FQ_STATUS_NOT_FOUND : FQ_STATUS_BAD_REQUEST,
-              NULL);
-      return;
-    }
-  event.kind = saying == FQ_PLATFORM_REPORT ? FQ_MESH_EVENT_REPORT : FQ_MESH_EVENT_LEAVE;
-  feed (node, &event);
-  answer (node->reports, id, FQ_STATUS_OK, "{}");
-}
-
-static const fq_http_server_handlers_t report_handlers = { .request = on_report };
-
 static void
 on_link_up (void *context, fq_node_address_t address)
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_LINK_UP, .node = address };
 
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static void
@@ -373,7 +197,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_LINK_DOWN, .node = address };
 
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static void
@@ -381,7 +205,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ASKER_DOWN, .asker = asker };
 
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static void
@@ -389,7 +213,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CONFIG, .config = config };
 
-  feed (node, &event);
+  fq_node_feed (node, &event);
 }
 
 static void
@@ -415,7 +239,7 @@
 
   event.frame.node = address;
   event.frame.frame = frame;
-  feed (node, &event);
+  fq_node_feed (node, &event);
   if (frame->kind == FQ_FRAME_CONFIG)
     take_config_frame (node, frame);
 }
@@ -431,7 +255,7 @@
   event.frame.asker = asker;
   event.frame.asker_address = address;
   event.frame.frame = frame;
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static const fq_links_handlers_t link_handlers = {
@@ -453,7 +277,7 @@
   event.server_answer.run = run;
   event.server_answer.verdict = verdict;
   event.server_answer.answer = message;
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static void
@@ -463,7 +287,7 @@
 
   event.server_failed.run = run;
   event.server_failed.failure = failure;
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static void
@@ -471,7 +295,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBED, .instance = instance };
 
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static const fq_server_calls_handlers_t server_handlers = {
@@ -493,7 +317,7 @@
 
   event.nodes.addresses = addresses;
   event.nodes.count = count;
-  feed (context, &event);
+  fq_node_feed (context, &event);
 }
 
 static const fq_store_watch_handlers_t store_handlers = {
@@ -516,35 +340,6 @@
   on_nodes (node, addresses, count);
 }
 
-static int
-open_server (fq_node_t *node,
-             fq_http_server_t **out,
-             const char *address_text,
-             const fq_http_server_handlers_t *handlers)
-{
-  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
-  struct sockaddr_in address;
-  int error = fq_address_parse (&address, address_text);
-
-  if (error < 0)
-    return error;
-  return fq_http_server_open (out, &node->io, &address, &options, handlers, node);
-}
-
-static int
-open_metrics (fq_node_t *node)
-{
-  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
-  struct sockaddr_in address = { .sin_family = AF_INET };
-
-  if (node->settings.metrics_port == 0)
-    return FQ_OK;
-  address.sin_addr.s_addr = htonl (node->address);
-  address.sin_port = htons ((uint16_t)node->settings.metrics_port);
-  return fq_http_server_open (&node->metrics, &node->io, &address, &options,
-                              &metrics_handlers, node);
-}
-
 static int
 open_links (fq_node_t *node)
 {
@@ -599,16 +394,7 @@
 
   if ((error = parse_ip (&node->address, settings->ip)) < 0
       || (error = open_mesh (node)) < 0 || (error = open_links (node)) < 0
-      || (error = open_server (node, &node->requests, settings->requests_address,
-                               &request_handlers))
-             < 0
-      || (error = open_server (node, &node->readiness, settings->readiness_address,
-                               &readiness_handlers))
-             < 0
-      || (error = open_server (node, &node->reports, settings->reports_address,
-                               &report_handlers))
-             < 0
-      || (error = open_metrics (node)) < 0)
+      || (error = fq_node_http_open (node)) < 0)
     return error;
   error = fq_server_calls_open (&node->server, &node->io, settings->server_address,
                                 &server_handlers, node);
@@ -640,7 +426,7 @@
   ev_timer_init (&node->timer, on_timer, 0., 0.);
   node->timer.data = node;
   fq_text_copy (node->path, sizeof node->path, path);
-  file_changed (node);
+  fq_node_file_changed (node);
   fq_blob_set_limit ((size_t)settings->memory_mb * FQ_BYTES_PER_MB / FQ_BODIES_SHARE);
   error = open_all (node);
   if (error < 0)
@@ -662,7 +448,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_STOP };
 
-  feed (node, &event);
+  fq_node_feed (node, &event);
 }
 
 /* What concerns listeners stays as it was at the start. */
--- /dev/null
+++ b/src/node/node_http.c
@@ -0,0 +1,207 @@
+/**
+ * DOC: The listeners of a node for HTTP: requests, readiness, reports of the server,
+ * metrics.
+ */
+#include <string.h>
+
+#include "exchange.h"
+#include "filbertquay/errors.h"
+#include "node/event_log.h"
+#include "node/node_private.h"
+#include "server_report.h"
+
+#define FQ_STATUS_OK 200
+#define FQ_STATUS_BAD_REQUEST 400
+#define FQ_STATUS_NOT_FOUND 404
+#define FQ_STATUS_UNAVAILABLE 503
+#define FQ_RESERVED_DESCRIPTORS 600 /* for links, servers and files */
+
+void
+fq_node_http_set_limits (fq_node_t *node, const fq_request_limits_t *limits)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+
+  options.limits.head_bytes = limits->head_bytes;
+  options.limits.body_bytes = limits->body_bytes;
+  options.head_timeout_ms = limits->head_timeout_ms;
+  options.idle_timeout_ms = limits->idle_timeout_ms;
+  options.connections_max = node->settings.descriptors > 2 * FQ_RESERVED_DESCRIPTORS
+                                ? node->settings.descriptors - FQ_RESERVED_DESCRIPTORS
+                                : node->settings.descriptors / 2;
+  fq_http_server_set_options (node->requests, &options);
+}
+
+void
+fq_node_http_reply (fq_node_t *node, const fq_mesh_effect_t *effect)
+{
+  fq_http_message_t *own;
+
+  if (effect->reply.answer != NULL)
+    {
+      fq_http_server_reply (node->requests, effect->reply.request, effect->reply.answer);
+      return;
+    }
+  own = fq_platform_own_answer (effect->reply.status, effect->reply.retry_after_ms,
+                                effect->reply.text);
+  fq_http_server_reply (node->requests, effect->reply.request, own);
+  fq_http_message_unref (own);
+}
+
+static void
+on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
+
+  (void)from;
+  event.request.id = id;
+  event.request.message = message;
+  fq_platform_read_request (message, &event.request);
+  fq_node_feed (node, &event);
+}
+
+static void
+on_client_gone (void *context, fq_id_t id)
+{
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CLIENT_GONE, .request_id = id };
+
+  fq_node_feed (context, &event);
+}
+
+static void
+on_malformed (void *context, uint16_t status, const char *reason)
+{
+  (void)context;
+  fq_event_log_printf (true, "event=request-malformed status=%u reason=\"%s\"", status,
+                       reason);
+}
+
+static const fq_http_server_handlers_t request_handlers = {
+  .request = on_request,
+  .gone = on_client_gone,
+  .malformed = on_malformed,
+};
+
+static void
+answer (fq_http_server_t *server, fq_id_t id, uint16_t status, const char *text)
+{
+  fq_http_message_t *message = fq_platform_own_answer (status, 0, text);
+
+  fq_http_server_reply (server, id, message);
+  fq_http_message_unref (message);
+}
+
+static void
+on_readiness (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+
+  (void)from;
+  if (!fq_platform_is_readiness (message))
+    answer (node->readiness, id, FQ_STATUS_NOT_FOUND, NULL);
+  else if (fq_mesh_is_ready (node->mesh))
+    answer (node->readiness, id, FQ_STATUS_OK, NULL);
+  else
+    answer (node->readiness, id, FQ_STATUS_UNAVAILABLE, NULL);
+}
+
+static const fq_http_server_handlers_t readiness_handlers = { .request = on_readiness };
+
+static void
+on_metrics (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_buffer_t text = { 0 };
+
+  (void)message;
+  (void)from;
+  fq_mesh_write_metrics (node->mesh, &text);
+  fq_buffer_printf (&text,
+                    "# TYPE fq_log_dropped_total counter\n"
+                    "fq_log_dropped_total %llu\n",
+                    (unsigned long long)fq_event_log_dropped ());
+  fq_buffer_add (&text, "", 1);
+  answer (node->metrics, id, FQ_STATUS_OK, (const char *)fq_buffer_bytes (&text));
+  fq_buffer_clear (&text);
+}
+
+static const fq_http_server_handlers_t metrics_handlers = { .request = on_metrics };
+
+static void
+on_report (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
+{
+  fq_node_t *node = context;
+  fq_mesh_event_t event = { 0 };
+  fq_platform_saying_t saying;
+  char address[FQ_ADDRESS_BYTES];
+  int error = fq_platform_read_report (&saying, &event.report, address, message);
+
+  (void)from;
+  if (fq_node_file_changed (node))
+    fq_node_reload (node);
+  if (error == FQ_OK && saying == FQ_PLATFORM_REPORT
+      && strcmp (address, node->settings.server_address) != 0)
+    error = fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_INVALID,
+                          "report: '%s' is not our server's address", address);
+  if (error < 0)
+    {
+      fq_event_log_printf (true, "event=report-refused fault=\"%s\"",
+                           fq_error_last ()->message);
+      answer (node->reports, id,
+              error == FQ_ERROR_NOTFOUND ? FQ_STATUS_NOT_FOUND : FQ_STATUS_BAD_REQUEST,
+              NULL);
+      return;
+    }
+  event.kind = saying == FQ_PLATFORM_REPORT ? FQ_MESH_EVENT_REPORT : FQ_MESH_EVENT_LEAVE;
+  fq_node_feed (node, &event);
+  answer (node->reports, id, FQ_STATUS_OK, "{}");
+}
+
+static const fq_http_server_handlers_t report_handlers = { .request = on_report };
+
+static int
+open_server (fq_node_t *node,
+             fq_http_server_t **out,
+             const char *address_text,
+             const fq_http_server_handlers_t *handlers)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  struct sockaddr_in address;
+  int error = fq_address_parse (&address, address_text);
+
+  if (error < 0)
+    return error;
+  return fq_http_server_open (out, &node->io, &address, &options, handlers, node);
+}
+
+static int
+open_metrics (fq_node_t *node)
+{
+  fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  if (node->settings.metrics_port == 0)
+    return FQ_OK;
+  address.sin_addr.s_addr = htonl (node->address);
+  address.sin_port = htons ((uint16_t)node->settings.metrics_port);
+  return fq_http_server_open (&node->metrics, &node->io, &address, &options,
+                              &metrics_handlers, node);
+}
+
+int
+fq_node_http_open (fq_node_t *node)
+{
+  const fq_node_settings_t *settings = &node->settings;
+  int error = open_server (node, &node->requests, settings->requests_address,
+                           &request_handlers);
+
+  if (error == FQ_OK)
+    error = open_server (node, &node->readiness, settings->readiness_address,
+                         &readiness_handlers);
+  if (error == FQ_OK)
+    error
+        = open_server (node, &node->reports, settings->reports_address, &report_handlers);
+  if (error == FQ_OK)
+    error = open_metrics (node);
+  return error;
+}
