Bound answers that nobody reads and large bodies; keep the directory clean

Read through as a newcomer would; each with a test that failed first where it is behaviour. - A client that never read its last answer held its memory for ever: 5 s now. - A leave that a node heard before any report of that server was ignored; a report that came late could then have made the server ready again. - One body may take an eighth of the memory, since it is copied on its way (413 beyond). - Rows of nodes that were gone for some 10 minutes are removed, reads of the directory go page by page, and a node whose row is missing writes it again.

--- a/src/io/buffer.c
+++ b/src/io/buffer.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 #define FQ_BUFFER_FIRST_BYTES 512
-#define FQ_BUFFER_KEPT_BYTES 4096 /* larger ones give memory back when empty */
+#define FQ_BUFFER_DOUBLES_BYTES (1 << 20) /* up to this size */
+#define FQ_BUFFER_KEPT_BYTES 4096         /* larger ones give memory back when empty */
 
 static void
 move_to_front (fq_buffer_t *buffer)
@@ -31,8 +32,10 @@
     return;
   if (capacity == 0)
     capacity = FQ_BUFFER_FIRST_BYTES;
-  while (capacity < buffer->end + size)
+  while (capacity < buffer->end + size && capacity < FQ_BUFFER_DOUBLES_BYTES)
     capacity *= 2;
+  if (capacity < buffer->end + size)
+    capacity = buffer->end + size + FQ_BUFFER_DOUBLES_BYTES;
   grown = realloc (buffer->data, capacity);
   if (grown == NULL)
     abort ();
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -14,6 +14,7 @@
 #include "filbertquay/errors.h"
 
 #define FQ_CONNECT_SECONDS 1.0 /* as long as callers give a connection */
+#define FQ_FINISH_SECONDS 5.0  /* for a peer to take the rest of the output */
 #define FQ_LINGER_SECONDS 1.0  /* for a peer to read the last bytes */
 #define FQ_KEEPALIVE_IDLE_SECONDS 1
 #define FQ_KEEPALIVE_INTERVAL_SECONDS 1
@@ -109,12 +110,19 @@
     handlers->ended (context, end);
 }
 
+static void
+set_limit (fq_stream_t *stream, double seconds)
+{
+  ev_timer_stop (stream->io->loop, &stream->limit);
+  ev_timer_set (&stream->limit, seconds, 0.);
+  ev_timer_start (stream->io->loop, &stream->limit);
+}
+
 static void
 begin_linger (fq_stream_t *stream)
 {
   shutdown (stream->fd, SHUT_WR);
-  ev_timer_set (&stream->limit, FQ_LINGER_SECONDS, 0.);
-  ev_timer_start (stream->io->loop, &stream->limit);
+  set_limit (stream, FQ_LINGER_SECONDS);
   fq_stream_pause (stream, false);
 }
 
@@ -409,9 +417,12 @@
   stream->handlers = &no_handlers;
   stream->finishing = true;
   if (stream->connecting)
-    fq_stream_close (stream);
-  else
-    fq_stream_output (stream);
+    {
+      fq_stream_close (stream);
+      return;
+    }
+  set_limit (stream, FQ_FINISH_SECONDS);
+  fq_stream_output (stream);
 }
 
 static void
--- a/src/mesh/effects.c
+++ b/src/mesh/effects.c
@@ -58,6 +58,7 @@
     case FQ_MESH_EFFECT_SERVER_PROBE:
     case FQ_MESH_EFFECT_LIMITS:
     case FQ_MESH_EFFECT_FIND_NODES:
+    case FQ_MESH_EFFECT_FORGET_NODE:
     case FQ_MESH_EFFECT_RETIRE:
     case FQ_MESH_EFFECT_STOPPED:
       break;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -165,6 +165,7 @@
   FQ_MESH_EFFECT_SERVER_PROBE,  /* ask our server whether it is well */
   FQ_MESH_EFFECT_LIMITS,        /* the limits of requests changed */
   FQ_MESH_EFFECT_FIND_NODES,    /* ask the directory which nodes there are */
+  FQ_MESH_EFFECT_FORGET_NODE,   /* take a node that is gone out of the directory */
   FQ_MESH_EFFECT_LOG,
   FQ_MESH_EFFECT_RETIRE,  /* each further answer is the last of its connection */
   FQ_MESH_EFFECT_STOPPED, /* nothing is under way any more: end the process */
@@ -184,7 +185,7 @@
       uint32_t retry_after_ms; /* 0: not stated */
       const char *text;        /* static */
     } reply;
-    fq_node_address_t node; /* link open, link close */
+    fq_node_address_t node; /* link open, link close, forget node */
     struct
     {
       fq_node_address_t node;
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -114,6 +114,7 @@
 {
   fq_mesh_log (mesh, false, "event=node-forgotten node=%08x failures=%u", peer->address,
                peer->failures);
+  fq_mesh_effect (mesh, FQ_MESH_EFFECT_FORGET_NODE)->node = peer->address;
   fq_timers_cancel (&mesh->timers, &peer->timer);
   fq_map_remove (&mesh->peers, peer->address);
   free (peer);
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -207,11 +207,28 @@
   enter_phase (mesh, FQ_PHASE_READY, "probed");
 }
 
+/* A node that starts may hear first that its server leaves: it never gets work then. */
+static void
+remember_leaver (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
+  gate->server_started_ms = report->started_ms;
+  gate->drain_until = mesh->now;
+  fq_mesh_log (mesh, false, "event=leave-of-unknown instance=%s", report->instance);
+}
+
 void
 fq_server_state_leave (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
 
+  if (gate->server.instance[0] == '\0')
+    {
+      remember_leaver (mesh, report);
+      return;
+    }
   if (strcmp (gate->server.instance, report->instance) != 0
       || (report->started_ms != 0 && report->started_ms != gate->server_started_ms))
     {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,7 +13,6 @@
 #include "util/timers.h"
 
 #define FQ_BODIES_SHARE 2 /* of the memory, a half is for bodies */
-#define FQ_BYTES_PER_MB (1024u * 1024u)
 
 /* An event that came up while effects were carried out. */
 typedef struct
@@ -75,6 +74,9 @@
     case FQ_MESH_EFFECT_FIND_NODES:
       fq_store_watch_find_nodes (node->store);
       break;
+    case FQ_MESH_EFFECT_FORGET_NODE:
+      fq_store_watch_forget_node (node->store, effect->node);
+      break;
     case FQ_MESH_EFFECT_LOG:
       fq_event_log_write (effect->log.warning, effect->log.text);
       break;
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -14,15 +14,19 @@
 #define FQ_STATUS_BAD_REQUEST 400
 #define FQ_STATUS_NOT_FOUND 404
 #define FQ_STATUS_UNAVAILABLE 503
+#define FQ_BODY_SHARE                                                                    \
+  8 /* of the memory, the most for one body: it is copied on its way */
 #define FQ_RESERVED_DESCRIPTORS 600 /* for links, servers and files */
 
 void
 fq_node_http_set_limits (fq_node_t *node, const fq_request_limits_t *limits)
 {
   fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
+  size_t body_max = (size_t)node->settings.memory_mb * FQ_BYTES_PER_MB / FQ_BODY_SHARE;
 
   options.limits.head_bytes = limits->head_bytes;
-  options.limits.body_bytes = limits->body_bytes;
+  options.limits.body_bytes
+      = limits->body_bytes < body_max ? limits->body_bytes : body_max;
   options.head_timeout_ms = limits->head_timeout_ms;
   options.idle_timeout_ms = limits->idle_timeout_ms;
   options.connections_max = node->settings.descriptors > 2 * FQ_RESERVED_DESCRIPTORS
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -14,6 +14,7 @@
 #include "node/store_watch.h"
 
 #define FQ_PATH_MAX_BYTES 1024
+#define FQ_BYTES_PER_MB (1024u * 1024u)
 
 struct fq_node
 {
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -1,7 +1,6 @@
 #include "node/store_watch.h"
 
 #include <arpa/inet.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +11,7 @@
 #include "store_calls.h"
 #include "util/text.h"
 
+#define FQ_STATUS_OK 200
 #define FQ_READ_TIMEOUT_MS 2500
 #define FQ_FEED_WAIT_MS 25000
 #define FQ_FEED_TIMEOUT_MS 28000
@@ -43,6 +43,8 @@
   bool entered;       /* the directory has the row of this node */
   bool lost;          /* the last call for the configuration failed */
   directory_step_t step;
+  char page[FQ_NAME_BYTES]; /* key from which the directory is read on */
+  bool seen_self;           /* the row of this node was among those read */
 };
 
 static void follow_config (fq_store_watch_t *watch);
@@ -181,6 +183,14 @@
   ev_timer_start (watch->io->loop, &watch->directory_retry);
 }
 
+/* A key that lies after @key and before every other key that could follow it. */
+static void
+set_page (fq_store_watch_t *watch, const char *key)
+{
+  fq_text_copy (watch->page, sizeof watch->page - 1, key);
+  strcat (watch->page, "!");
+}
+
 static void
 take_nodes (fq_store_watch_t *watch, const fq_platform_rows_t *rows)
 {
@@ -193,6 +203,8 @@
     {
       struct in_addr in;
 
+      if (strcmp (rows->rows[i].key, watch->self) == 0)
+        watch->seen_self = true;
       if (inet_pton (AF_INET, rows->rows[i].key, &in) == 1)
         addresses[count++] = ntohl (in.s_addr);
     }
@@ -202,6 +214,15 @@
   free (addresses);
 }
 
+/* Another node may have held this one for gone, and removed its row. */
+static void
+end_reading (fq_store_watch_t *watch)
+{
+  watch->step = watch->seen_self ? DIRECTORY_IDLE : DIRECTORY_ENTERING;
+  watch->page[0] = '\0';
+  watch->seen_self = false;
+}
+
 static void
 on_directory_answered (void *context, fq_http_message_t *answer)
 {
@@ -211,7 +232,7 @@
   watch->directory_call = NULL;
   if (watch->step == DIRECTORY_ENTERING)
     {
-      if (answer->status != 200)
+      if (answer->status != FQ_STATUS_OK)
         {
           retry_directory (watch);
           return;
@@ -226,9 +247,14 @@
       retry_directory (watch);
       return;
     }
-  watch->step = DIRECTORY_IDLE;
   take_nodes (watch, &rows);
+  if (rows.has_more && rows.count > 0)
+    set_page (watch, rows.rows[rows.count - 1].key);
+  else
+    end_reading (watch);
   fq_platform_rows_clear (&rows);
+  if (watch->step != DIRECTORY_IDLE)
+    go_on_with_directory (watch);
 }
 
 static void
@@ -256,7 +282,7 @@
     request
         = fq_platform_put_row (FQ_PLATFORM_TABLE_NODES, watch->store, watch->self, "{}");
   else
-    request = fq_platform_read_rows (FQ_PLATFORM_TABLE_NODES, watch->store, "");
+    request = fq_platform_read_rows (FQ_PLATFORM_TABLE_NODES, watch->store, watch->page);
   if (fq_http_client_call (&watch->directory_call, watch->client, request, &options,
                            &directory_handlers, watch)
       < 0)
@@ -284,6 +310,43 @@
   go_on_with_directory (watch);
 }
 
+static void
+on_forgotten (void *context, fq_http_message_t *answer)
+{
+  (void)context;
+  if (answer->status != FQ_STATUS_OK)
+    fq_event_log_printf (true, "event=directory-not-changed status=%u", answer->status);
+}
+
+static void
+on_not_forgotten (void *context, fq_http_failure_t failure)
+{
+  (void)context;
+  fq_event_log_printf (true, "event=directory-not-changed failure=%d", failure);
+}
+
+static const fq_http_call_handlers_t forget_handlers = {
+  .answered = on_forgotten,
+  .failed = on_not_forgotten,
+};
+
+void
+fq_store_watch_forget_node (fq_store_watch_t *watch, fq_node_address_t node)
+{
+  fq_http_call_options_t options = { .timeout_ms = FQ_READ_TIMEOUT_MS };
+  char key[FQ_ADDRESS_BYTES];
+  fq_http_message_t *request;
+  fq_http_call_t *call;
+
+  fq_node_address_text (key, node);
+  request = fq_platform_remove_row (FQ_PLATFORM_TABLE_NODES, watch->store, key);
+  if (fq_http_client_call (&call, watch->client, request, &options, &forget_handlers,
+                           watch)
+      < 0)
+    on_not_forgotten (watch, FQ_HTTP_FAILURE_REFUSED);
+  fq_http_message_unref (request);
+}
+
 int
 fq_store_watch_open (fq_store_watch_t **out,
                      fq_io_t *io,
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -28,6 +28,9 @@
 /** fq_store_watch_find_nodes() - enter this node in the directory, and read it. */
 void fq_store_watch_find_nodes (fq_store_watch_t *watch);
 
+/** fq_store_watch_forget_node() - take a node that is gone out of the directory. */
+void fq_store_watch_forget_node (fq_store_watch_t *watch, fq_node_address_t node);
+
 /** fq_store_watch_close() - NULL-safe. */
 void fq_store_watch_close (fq_store_watch_t *watch);
 
--- a/tests/http/test_sockets.c
+++ b/tests/http/test_sockets.c
@@ -4,6 +4,7 @@
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <check.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -268,6 +269,43 @@
 }
 END_TEST
 
+static void
+send_large_answer (fq_id_t id)
+{
+  fq_http_message_t *answer = fq_http_message_new ();
+
+  answer->status = 200;
+  ck_assert_int_eq (fq_blob_new (&answer->body, NULL, 32 << 20), 0);
+  fq_http_server_retire (server);
+  fq_http_server_reply (server, id, answer);
+  fq_http_message_unref (answer);
+}
+
+/* A client that never reads its answer holds its memory for a bounded time only. */
+START_TEST (test_answer_that_is_not_read_is_dropped)
+{
+  char received[RECEIVED_MAX];
+  size_t size = 0;
+  ssize_t count;
+  int fd;
+
+  open_server ();
+  fd = connect_client ();
+  send_text (fd, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  run_for (0.05);
+  send_large_answer (waiting);
+  run_for (6);
+  while ((count = recv (fd, received, sizeof received, MSG_DONTWAIT)) > 0)
+    size += (size_t)count;
+  ck_assert_uint_lt (size, 32 << 20);
+  /* It was cut off, and not only held back. */
+  run_for (0.1);
+  ck_assert (recv (fd, received, sizeof received, MSG_DONTWAIT) == 0 || errno != EAGAIN);
+  close (fd);
+  fq_http_server_close (server);
+}
+END_TEST
+
 START_TEST (test_expected_continue_is_sent)
 {
   char received[RECEIVED_MAX];
@@ -483,6 +521,7 @@
                        sizeof refused / sizeof refused[0]);
   tcase_add_test (tcase, test_slow_head_gets_408);
   tcase_add_test (tcase, test_client_that_leaves_is_told);
+  tcase_add_test (tcase, test_answer_that_is_not_read_is_dropped);
   tcase_add_test (tcase, test_expected_continue_is_sent);
   tcase_add_loop_test (tcase, test_answer_is_whole_or_the_failure_is_told, 0,
                        sizeof exchanges / sizeof exchanges[0]);
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -228,6 +228,7 @@
     case FQ_MESH_EFFECT_SERVER_PROBE:
     case FQ_MESH_EFFECT_LIMITS:
     case FQ_MESH_EFFECT_FIND_NODES:
+    case FQ_MESH_EFFECT_FORGET_NODE:
     case FQ_MESH_EFFECT_LOG:
     case FQ_MESH_EFFECT_RETIRE:
       break;
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -266,6 +266,27 @@
 }
 END_TEST
 
+/* A node that was started again hears first that its server leaves. */
+START_TEST (test_leave_of_an_unknown_server_is_kept)
+{
+  fq_mesh_event_t leave = { .kind = FQ_MESH_EVENT_LEAVE };
+
+  fleet_kill (&fleet, 2);
+  fleet_kill (&fleet, 3);
+  fleet_kill (&fleet, 1);
+  fleet_start (&fleet, 1);
+  fleet_pass (&fleet, 300);
+  strcpy (leave.report.instance, "i-1");
+  leave.report.started_ms = 1000;
+  fleet_feed (&fleet, 1, &leave);
+  fleet_report (&fleet, 1, "i-1", 1000, false);
+  fleet_pass (&fleet, 10);
+  fleet_ask (&fleet, 0, "/safe/1", "r1", "");
+  fleet_pass (&fleet, 100);
+  ck_assert_uint_eq (fleet.run_count, 0);
+}
+END_TEST
+
 START_TEST (test_late_report_does_not_bring_back_an_older_state)
 {
   fq_mesh_event_t late = { .kind = FQ_MESH_EVENT_REPORT };
@@ -541,6 +562,7 @@
   tcase_add_test (tcase, test_repeats_stay_within_the_budget);
   tcase_add_test (tcase, test_drained_server_gets_nothing_and_stays_drained);
   tcase_add_test (tcase, test_leave_drains_and_an_old_leave_does_not);
+  tcase_add_test (tcase, test_leave_of_an_unknown_server_is_kept);
   tcase_add_test (tcase, test_late_report_does_not_bring_back_an_older_state);
   tcase_add_test (tcase, test_client_that_leaves_stops_only_what_may_be_repeated);
   tcase_add_test (tcase, test_route_timeout_ends_the_wait);
