--- a/src/mesh/gate_admission.c
+++ b/src/mesh/gate_admission.c
@@ -89,7 +89,7 @@
 {
   const fq_mesh_bounds_t *bounds = &mesh->bounds;
   size_t gates = fq_peer_count_gates (mesh, mesh->gate.server.service);
-  double slack = (double)bounds->retry_slack / (double)(gates > 0 ? gates : 1);
+  double slack = bounds->retry_slack / (double)(gates > 0 ? gates : 1);
 
   return fq_repeat_budget_spend (&mesh->gate.budget, mesh->now,
                                  bounds->retry_ratio * FQ_RETRY_RATIO_SHARE,
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -22,7 +22,7 @@
   uint32_t grace_ms;           /* from the signal to stop until the process is killed */
   double retry_ratio;          /* repeats allowed, as a share of a service's requests */
   uint32_t retry_window_ms;
-  uint32_t retry_slack; /* repeats allowed beside the share, for all nodes together */
+  double retry_slack; /* repeats allowed beside the share, for all nodes together */
 } fq_mesh_bounds_t;
 
 /** struct fq_mesh_options_t - strings are copied; see FQ_MESH_OPTIONS_INIT. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -429,7 +429,7 @@
   node->timer.data = node;
   fq_text_copy (node->path, sizeof node->path, path);
   fq_node_file_changed (node);
-  fq_blob_set_limit ((size_t)settings->memory_mb * FQ_BYTES_PER_MB / FQ_BODIES_SHARE);
+  fq_blob_set_limit ((size_t)(settings->memory_mb * FQ_BYTES_PER_MB / FQ_BODIES_SHARE));
   error = open_all (node);
   if (error < 0)
     {
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -22,7 +22,7 @@
 fq_node_http_set_limits (fq_node_t *node, const fq_request_limits_t *limits)
 {
   fq_http_server_options_t options = FQ_HTTP_SERVER_OPTIONS_INIT;
-  size_t body_max = (size_t)node->settings.memory_mb * FQ_BYTES_PER_MB / FQ_BODY_SHARE;
+  size_t body_max = (size_t)(node->settings.memory_mb * FQ_BYTES_PER_MB / FQ_BODY_SHARE);
 
   options.limits.head_bytes = limits->head_bytes;
   options.limits.body_bytes
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -28,7 +28,7 @@
 };
 
 static const fq_field_t server_fields[] = {
-  { "service", FQ_FIELD_NAME, .required = true, TEXT (service) },
+  { "service", FQ_FIELD_NAME, TEXT (service) },
   { "address", FQ_FIELD_ADDRESS, .required = true, TEXT (server_address) },
   { "report_interval", FQ_FIELD_DURATION, .required = true, TEXT (report_interval_ms),
     .min = 1, .max = FQ_DURATION_MS_MAX },
@@ -38,16 +38,16 @@
 };
 
 static const fq_field_t retry_fields[] = {
-  { "ratio", FQ_FIELD_FRACTION, .required = true, TEXT (retry_ratio) },
+  { "ratio", FQ_FIELD_DECIMAL, .required = true, TEXT (retry_ratio), .max = 1 },
   { "window", FQ_FIELD_DURATION, .required = true, TEXT (retry_window_ms), .min = 100,
     .max = FQ_DURATION_MS_MAX },
-  { "slack", FQ_FIELD_NUMBER, .required = true, TEXT (retry_slack),
+  { "slack", FQ_FIELD_DECIMAL, .required = true, TEXT (retry_slack),
     .max = FQ_RETRY_SLACK_MAX },
   { NULL },
 };
 
 static const fq_field_t limit_fields[] = {
-  { "memory_mb", FQ_FIELD_NUMBER, .required = true, TEXT (memory_mb),
+  { "memory_mb", FQ_FIELD_DECIMAL, .required = true, TEXT (memory_mb),
     .min = FQ_MEMORY_MB_MIN, .max = FQ_MEMORY_MB_MAX },
   { "descriptors", FQ_FIELD_NUMBER, .required = true, TEXT (descriptors),
     .min = FQ_DESCRIPTORS_MIN, .max = FQ_DESCRIPTORS_MAX },
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -24,14 +24,14 @@
   char seeds[FQ_NODE_SEEDS_MAX][FQ_ADDRESS_BYTES]; /* only their IPs are used */
   size_t seed_count;
   uint32_t metrics_port;
-  uint32_t memory_mb;   /* that the process may use */
+  double memory_mb;     /* that the process may use */
   uint32_t descriptors; /* that it may open */
   uint32_t report_interval_ms;
   uint32_t drain_ms;
   uint32_t grace_ms;
   double retry_ratio;
   uint32_t retry_window_ms;
-  uint32_t retry_slack;
+  double retry_slack;
   int log_level; /* 0: all lines, 1: warnings only */
 } fq_node_settings_t;
 
--- a/src/settings/reader.c
+++ b/src/settings/reader.c
@@ -191,17 +191,21 @@
 }
 
 static void
-read_fraction (fq_reader_t *reader,
-               double *to,
-               const fq_field_t *field,
-               const json_t *value)
+read_decimal (fq_reader_t *reader,
+              double *to,
+              const fq_field_t *field,
+              const json_t *value)
 {
   double number = json_number_value (value);
+  char allowed[FQ_READER_ALLOWED_BYTES];
 
-  if (json_is_number (value) && number >= 0 && number <= 1)
-    *to = number;
-  else
-    fault_value (reader, field, value, "a number from 0 to 1");
+  if (json_is_number (value) && number >= field->min && number <= field->max)
+    {
+      *to = number;
+      return;
+    }
+  snprintf (allowed, sizeof allowed, "a number from %u to %u", field->min, field->max);
+  fault_value (reader, field, value, allowed);
 }
 
 static void
@@ -388,8 +392,8 @@
     case FQ_FIELD_DURATION:
       read_duration (reader, to, field, value);
       break;
-    case FQ_FIELD_FRACTION:
-      read_fraction (reader, to, field, value);
+    case FQ_FIELD_DECIMAL:
+      read_decimal (reader, to, field, value);
       break;
     case FQ_FIELD_CHOICE:
       read_choice (reader, to, field, value);
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -24,7 +24,7 @@
   FQ_FIELD_PORT,      /* 1 to 65535; int */
   FQ_FIELD_NUMBER,    /* @min to @max; uint32_t */
   FQ_FIELD_DURATION,  /* "1500ms" or "2.5s", @min to @max ms; uint32_t, in ms */
-  FQ_FIELD_FRACTION,  /* 0 to 1; double */
+  FQ_FIELD_DECIMAL,   /* a number, whole or not, @min to @max; double */
   FQ_FIELD_CHOICE,    /* one of @choices; int, its index */
   FQ_FIELD_SECRET,    /* in place, or in the file that NAME_file names; char[] */
   FQ_FIELD_OBJECT,    /* @fields, stored from the same base */
--- /dev/null
+++ b/tests/node/test_node_settings.c
@@ -0,0 +1,115 @@
+/**
+ * DOC: Settings of filbertquay-node: what is taken, and that all faults are told at once.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "filbertquay/errors.h"
+#include "node/settings.h"
+
+static const char good[]
+    = "{\"node\":\"n1\",\"zone\":\"z-1\",\"ip\":\"10.0.0.1\",\"store\":\"10.0.0.9:1\","
+      "\"seeds\":[],\"listen\":{\"requests\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\","
+      "\"reports\":\"10.0.0.1:3\",\"nodes\":\"10.0.0.1:4\",\"metrics_port\":5},"
+      "\"server\":{\"address\":\"10.0.0.1:6\",\"report_interval\":\"1500ms\","
+      "\"drain\":\"2.5s\"},\"retries\":{\"ratio\":0.2,\"window\":\"10s\",\"slack\":48.5},"
+      "\"limits\":{\"memory_mb\":260,\"descriptors\":4100,\"grace\":\"6s\"}}";
+
+static int
+load (fq_node_settings_t *out, const char *text)
+{
+  char path[] = "/tmp/fq-settings-XXXXXX";
+  int fd = mkstemp (path);
+  int error;
+
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  close (fd);
+  error = fq_node_settings_load (out, path);
+  unlink (path);
+  return error;
+}
+
+START_TEST (test_settings_are_read)
+{
+  fq_node_settings_t settings;
+
+  ck_assert_int_eq (load (&settings, good), 0);
+  ck_assert_str_eq (settings.service, "");
+  ck_assert_uint_eq (settings.drain_ms, 2500);
+  ck_assert_double_eq (settings.retry_slack, 48.5);
+  ck_assert_uint_eq (settings.seed_count, 0);
+}
+END_TEST
+
+/* A row: a part of the good settings, what stands in its place, and the fault's path. */
+static const struct
+{
+  const char *part;
+  const char *instead;
+  const char *path;
+} faults[] = {
+  { "\"10.0.0.1:2\"", "\"10.0.0.1\"", "listen.readiness" },
+  { "\"2.5s\"", "2500", "server.drain" },
+  { "\"2.5s\"", "\"2.5\"", "server.drain" },
+  { "\"1500ms\"", "\"0ms\"", "server.report_interval" },
+  { "0.2", "1.5", "retries.ratio" },
+  { "48.5", "\"48\"", "retries.slack" },
+  { "4100", "8", "limits.descriptors" },
+  { "\"seeds\":[]", "\"seeds\":[\"x\"]", "seeds" },
+  { "\"seeds\":[]", "\"seedz\":[]", "seedz" },
+  { "\"zone\":\"z-1\",", "", "zone" },
+};
+
+static void
+put_in_place (char *out, size_t size, const char *part, const char *instead)
+{
+  const char *at = strstr (good, part);
+
+  ck_assert_ptr_nonnull (at);
+  snprintf (out, size, "%.*s%s%s", (int)(at - good), good, instead, at + strlen (part));
+}
+
+START_TEST (test_fault_is_told_with_its_path)
+{
+  fq_node_settings_t settings;
+  char text[sizeof good + 64];
+
+  put_in_place (text, sizeof text, faults[_i].part, faults[_i].instead);
+  ck_assert_int_lt (load (&settings, text), 0);
+  ck_assert_msg (strstr (fq_error_last ()->message, faults[_i].path) != NULL, "%s",
+                 fq_error_last ()->message);
+}
+END_TEST
+
+START_TEST (test_file_that_cannot_be_read_is_an_error)
+{
+  fq_node_settings_t settings;
+
+  ck_assert_int_eq (fq_node_settings_load (&settings, "/nowhere/at/all"), FQ_ERROR_IO);
+  ck_assert_int_lt (load (&settings, "{"), 0);
+  ck_assert_int_lt (load (&settings, "[]"), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("node settings");
+  TCase *tcase = tcase_create ("node settings");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, test_settings_are_read);
+  tcase_add_loop_test (tcase, test_fault_is_told_with_its_path, 0,
+                       sizeof faults / sizeof faults[0]);
+  tcase_add_test (tcase, test_file_that_cannot_be_read_is_an_error);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
