--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -24,14 +24,31 @@
     fq_peer_learn (mesh, addresses[i], false);
 }
 
+/* A node that reads the directory after it has entered itself misses nobody who will not
+ * find it, so that one read is enough once there is company. */
 static void
 look_for_nodes (fq_mesh_t *mesh)
 {
   bool lonely = fq_peer_count_up (mesh) == 0;
+  bool due = mesh->now - mesh->nodes_sought >= FQ_NODES_US;
 
-  fq_mesh_effect (mesh, FQ_MESH_EFFECT_FIND_NODES);
+  if (lonely || due)
+    {
+      fq_mesh_effect (mesh, FQ_MESH_EFFECT_FIND_NODES);
+      mesh->nodes_sought = mesh->now;
+    }
   fq_timers_arm (&mesh->timers, &mesh->nodes_timer,
-                 mesh->now + (lonely ? FQ_NODES_LONELY_US : FQ_NODES_US));
+                 lonely ? mesh->now + FQ_NODES_LONELY_US
+                        : mesh->nodes_sought + FQ_NODES_US);
+}
+
+void
+fq_mesh_is_alone (fq_mesh_t *mesh)
+{
+  fq_time_t soon = mesh->now + FQ_NODES_LONELY_US;
+
+  if (mesh->nodes_timer.position == 0 || mesh->nodes_timer.when > soon)
+    fq_timers_arm (&mesh->timers, &mesh->nodes_timer, soon);
 }
 
 static void
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -186,6 +186,7 @@
   fq_list_t loopback; /* frames between our entry and our gate */
   fq_mesh_metrics_t metrics;
   fq_timer_entry_t nodes_timer;
+  fq_time_t nodes_sought; /* when the directory was last read */
   fq_time_t started;
   bool stopping; /* not ready for clients any more */
   bool closing;  /* the gate takes no work any more either */
@@ -214,6 +215,7 @@
 void fq_mesh_go_on_stopping (fq_mesh_t *mesh);
 
 /* mesh.c */
+void fq_mesh_is_alone (fq_mesh_t *mesh);
 fq_id_t fq_mesh_next_id (fq_mesh_t *mesh);
 
 /* entry.c: requests that begin at this machine. */
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -148,6 +148,8 @@
   peer->welcomed = false;
   peer->server.phase = FQ_PHASE_ABSENT;
   fq_entry_gate_lost (mesh, peer);
+  if (fq_peer_count_up (mesh) == 0)
+    fq_mesh_is_alone (mesh);
   if (peer->failures > FQ_FAILURES_MAX)
     {
       forget (mesh, peer);
