--- a/src/mesh/effects.c
+++ b/src/mesh/effects.c
@@ -8,7 +8,7 @@
 
 #include "mesh/mesh_private.h"
 
-#define FQ_LOG_LINE_BYTES 384
+#define FQ_LOG_LINE_BYTES 560
 #define FQ_EFFECTS_FIRST_CAPACITY 16
 
 fq_mesh_effect_t *
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -15,8 +15,8 @@
 #include "filbertquay/types.h"
 #include "http/message.h"
 
-#define FQ_REQUEST_ID_BYTES 96 /* a caller's id of one attempt, with its NUL */
-#define FQ_INSTANCE_BYTES 96   /* an id of one start of a server, with its NUL */
+#define FQ_REQUEST_ID_BYTES 256 /* a caller's id; calls add to that of their origin */
+#define FQ_INSTANCE_BYTES 96    /* an id of one start of a server, with its NUL */
 
 /** typedef fq_node_address_t - the IPv4 address of a node, in host order; names it. */
 typedef uint32_t fq_node_address_t;
--- a/src/node/event_log.c
+++ b/src/node/event_log.c
@@ -17,8 +17,8 @@
 #include "util/text.h"
 
 #define FQ_LOG_NAME "filbertquay-node" /* of our layout, appender and category */
-#define FQ_LOG_TEXT_BYTES 512
-#define FQ_LOG_LINE_BYTES 640
+#define FQ_LOG_TEXT_BYTES 600
+#define FQ_LOG_LINE_BYTES 720
 #define FQ_LOG_TIME_BYTES 32
 #define FQ_LOG_WAITING_BYTES (128 * 1024) /* that standard output did not take yet */
 #define FQ_LOG_LINES_PER_SECOND 2000
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -212,11 +212,29 @@
   { 200, "X-Attempt-Id: r1\r\nX-Response-Signature: s\r\nContent-Encoding: gzip\r\n",
     true, FQ_SERVER_ANSWER_INVALID },
   { 503, "X-Not-Executed: 1\r\n", true, FQ_SERVER_DID_NOT_RUN },
+  { 400, "X-Not-Executed: 1\r\n", true, FQ_SERVER_ANSWERED },
   { 429, "X-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n", true, FQ_SERVER_DID_NOT_RUN },
   { 503, "X-Attempt-Id: r1\r\n", true, FQ_SERVER_ANSWERED },
   { 421, "X-Instance-Id: i-2\r\n", true, FQ_SERVER_IS_ANOTHER },
 };
 
+/* Nine calls deep, each adding its own id to that of the call above. */
+START_TEST (test_id_of_a_deep_call_is_kept)
+{
+  fq_http_message_t *message = new_request ("/p/x", NULL);
+  fq_mesh_request_t request = { 0 };
+  char id[FQ_REQUEST_ID_BYTES] = "0123456789abcdef";
+
+  for (int depth = 1; depth < 9; depth++)
+    strcat (id, ".0123456789abcdef");
+  fq_http_message_add (message, "X-Attempt-Id", id);
+  fq_platform_read_request (message, &request);
+  ck_assert_str_eq (request.request_id, id);
+  ck_assert_uint_eq (strlen (request.parent_id), strlen (id) - 17);
+  fq_http_message_unref (message);
+}
+END_TEST
+
 START_TEST (test_answer_is_judged)
 {
   fq_http_message_t *answer = fq_http_message_new ();
@@ -292,6 +310,7 @@
   tcase_add_loop_test (tcase, test_report_is_read_or_names_no_server, 0,
                        sizeof reports / sizeof reports[0]);
   tcase_add_test (tcase, test_request_fields_are_decoded_once);
+  tcase_add_test (tcase, test_id_of_a_deep_call_is_kept);
   tcase_add_loop_test (tcase, test_answer_is_judged, 0,
                        sizeof answers / sizeof answers[0]);
   tcase_add_test (tcase, test_refusal_tells_when_to_come_back);
