--- a/src/mesh/choice.c
+++ b/src/mesh/choice.c
@@ -12,16 +12,17 @@
 
 #define FQ_SLOWNESS_WEIGHT 0.15 /* of the newest answer */
 #define FQ_FAILING_WEIGHT 0.1
-#define FQ_FORGIVE_US (4.0 * FQ_MICROSECONDS_PER_SECOND) /* old judgements fade */
-#define FQ_ROOM_FADES_US                                                                 \
-  (500.0 * FQ_MICROSECONDS_PER_MS) /* what a gate told of its load says little after it  \
-                                    */
+#define FQ_FORGIVE_US (4.0 * FQ_MICROSECONDS_PER_SECOND)  /* old judgements fade */
+#define FQ_ROOM_FADES_US (500.0 * FQ_MICROSECONDS_PER_MS) /* halves what a gate told */
 #define FQ_SLOWNESS_MAX 8.0
 #define FQ_FULLNESS_COST 0.6 /* of a full gate, against an empty one */
+#define FQ_OVERFULL_COST 4.0 /* for each time that the load goes into the room again */
 #define FQ_FAILING_COST 4.0
 #define FQ_OTHER_ZONE_COST 0.35
 #define FQ_OTHER_ZONE_BYTES 20000.0 /* a body of this size doubles it */
-#define FQ_DRAINING_COST 50.0
+#define FQ_DRAINING_COST 50.0       /* only where no other gate is left */
+#define FQ_JITTER 0.1               /* so that entries don't all choose the same gate */
+#define FQ_ROUTE_MEAN_WEIGHT 0.05
 
 static double
 load_of (const fq_mesh_t *mesh, const fq_peer_t *peer)
@@ -62,7 +63,7 @@
 
   cost += FQ_FULLNESS_COST * full * full;
   if (full > 1)
-    cost += (full - 1) * 4;
+    cost += (full - 1) * FQ_OVERFULL_COST;
   cost += wait_cost (mesh, peer, exchange);
   cost += FQ_FAILING_COST * peer->failing * trust;
   if (strcmp (peer->zone, mesh->zone) != 0)
@@ -100,7 +101,8 @@
 
       if (!is_candidate (peer, exchange))
         continue;
-      cost = cost_of (mesh, peer, exchange) * (1 + fq_random_unit (&mesh->random) * 0.1);
+      cost = cost_of (mesh, peer, exchange)
+             * (1 + fq_random_unit (&mesh->random) * FQ_JITTER);
       if (best != NULL && cost >= best_cost)
         continue;
       best = peer;
@@ -139,7 +141,7 @@
     return;
   time = route_time (mesh, route, took);
   ratio = (double)took / time->mean_us;
-  time->mean_us += ((double)took - time->mean_us) * 0.05;
+  time->mean_us += ((double)took - time->mean_us) * FQ_ROUTE_MEAN_WEIGHT;
   if (ratio > FQ_SLOWNESS_MAX)
     ratio = FQ_SLOWNESS_MAX;
   peer->slowness += (ratio - peer->slowness) * FQ_SLOWNESS_WEIGHT;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -67,10 +67,14 @@
             fq_node_address_t address,
             const fq_frame_t *frame)
 {
-  fq_asker_t *asker = calloc (1, sizeof *asker);
+  fq_asker_t *asker = fq_map_get (&mesh->askers, id);
 
-  if (asker == NULL || fq_map_set (&mesh->askers, id, asker) < 0)
-    abort ();
+  if (asker == NULL)
+    {
+      asker = calloc (1, sizeof *asker);
+      if (asker == NULL || fq_map_set (&mesh->askers, id, asker) < 0)
+        abort ();
+    }
   asker->id = id;
   asker->address = address;
   fq_peer_learn (mesh, address, true);
