--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -28,6 +28,7 @@
 #define FQ_STOPPING_TAKES_US                                                             \
   (3 * FQ_MICROSECONDS_PER_SECOND) /* requests that begin later could not end in time */
 #define FQ_RETRY_AFTER_DEFAULT_MS 400
+#define FQ_PERCENT 100
 
 static fq_time_t
 ms_to_us (uint32_t ms)
@@ -104,14 +105,15 @@
   peer->outstanding++;
   peer->sent_since++;
   mesh->metrics.counters[FQ_METRIC_OFFERS]++;
-  fq_mesh_log (mesh, false,
-               "event=attempt id=%s node=%08x offer=%u rank=%u repeat=%d limit=%u "
-               "in_flight=%u queued=%u told_ms_ago=%lld slowness=%.2f failing=%.2f",
-               exchange->request_id, peer->address, exchange->offers, exchange->rank,
-               exchange->servers_reached > 0, peer->room.limit, peer->room.in_flight,
-               peer->room.queued,
-               (long long)((mesh->now - peer->room_at) / FQ_MICROSECONDS_PER_MS),
-               peer->slowness, peer->failing);
+  fq_mesh_log (
+      mesh, false,
+      "event=attempt id=%s node=%08x offer=%u rank=%u repeat=%d limit=%u "
+      "in_flight=%u queued=%u told_ms_ago=%lld slow_percent=%d failing_percent=%d",
+      exchange->request_id, peer->address, exchange->offers, exchange->rank,
+      exchange->servers_reached > 0, peer->room.limit, peer->room.in_flight,
+      peer->room.queued,
+      (long long)((mesh->now - peer->room_at) / FQ_MICROSECONDS_PER_MS),
+      (int)(peer->slowness * FQ_PERCENT), (int)(peer->failing * FQ_PERCENT));
   frame.attempt = exchange->attempt;
   write_offer (mesh, exchange, &frame.offer);
   if (goes_with_offer (exchange))
--- a/src/node/event_log.c
+++ b/src/node/event_log.c
@@ -39,17 +39,30 @@
   uint64_t dropped_told;
 } event_log;
 
+/* Many lines are of one second. */
+static const char *
+second_text (time_t second)
+{
+  static char text[FQ_LOG_TIME_BYTES];
+  static time_t last = -1;
+  struct tm utc;
+
+  if (second == last)
+    return text;
+  last = second;
+  gmtime_r (&second, &utc);
+  strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &utc);
+  return text;
+}
+
 static const char *
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
   static char line[FQ_LOG_LINE_BYTES];
-  char when[FQ_LOG_TIME_BYTES];
-  struct tm utc;
 
   (void)layout;
-  gmtime_r (&event->evt_timestamp.tv_sec, &utc);
-  strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%S", &utc);
-  snprintf (line, sizeof line, "%s.%03ldZ %s %s %s\n", when,
+  snprintf (line, sizeof line, "%s.%03ldZ %s %s %s\n",
+            second_text (event->evt_timestamp.tv_sec),
             event->evt_timestamp.tv_usec / 1000,
             event->evt_priority == LOG4C_PRIORITY_WARN ? "warning" : "info",
             event_log.node, event->evt_msg);
