Refuse a head that the library takes for less than it is

Cause: found by the fuzz target: 'POST / H' and an empty line is no complete head for http-parser, nor an error; what followed was then read as the rest of it, so that the same bytes were one request in one piece and none in others (a way to smuggle). Change: after the head's end the library must have seen a whole head, else 400. Test: a row of test_reader, which failed first; the input is a seed of the fuzz target.

--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -421,6 +421,10 @@
                   &parsed)
       < 0)
     return -1;
+  /* The library may see less than a head in it, and would take what follows for the rest.
+   */
+  if (!reader->trailers && !reader->is_whole)
+    return fail (reader, FQ_STATUS_BAD_REQUEST, "the head is cut short");
   reader->head_is_whole = true;
   fq_buffer_clear (&reader->head);
   return 0;
--- a/tests/http/test_reader.c
+++ b/tests/http/test_reader.c
@@ -70,6 +70,7 @@
   { "carriage return inside", "GET / HTTP/1.1\r\n" HOST "X-A: 1\r2\r\n\r\n", 400 },
   { "no field name", "GET / HTTP/1.1\r\n" HOST ": 1\r\n\r\n", 400 },
   { "blank in a name", "GET / HTTP/1.1\r\n" HOST "X A: 1\r\n\r\n", 400 },
+  { "head within a head", "POST / H\r\n\r\n1.1\r\n" HOST "\r\n", 400 },
   { "no method", "NONSENSE / HTTP/1.1\r\n" HOST "\r\n", 400 },
   { "connect", "CONNECT a:1 HTTP/1.1\r\n" HOST "\r\n", 501 },
   { "other version", "GET / HTTP/2.0\r\n" HOST "\r\n", 505 },
