Count each excess once in the shed level, and take the mean of what gates tell

Traced by printing the level, limit and queue of all nodes each 200 ms. And refusals come after a wait: those of chains that the level shed by then lowered it again, after which it grew by a quarter each 100 ms, faster than news came back.

Change: refusals of chains that the level sheds already do not count; the entry takes the mean over answers; growth is by 0.04 each quiet interval.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -222,7 +222,7 @@
 {
   fq_refused_t *refused = fq_map_get (&admission->refused, entry->member);
 
-  fq_shed_refused (&admission->shed, entry->request_class);
+  fq_shed_refused (&admission->shed, entry->request_class, entry->chain_id);
   if (refused == NULL)
     {
       refused = calloc (1, sizeof *refused);
@@ -248,7 +248,7 @@
   entry->flow = NULL;
   entry->offered = now;
   entry->started = 0;
-  fq_shed_offered (&admission->shed, now, entry->request_class);
+  fq_shed_offered (&admission->shed, now, entry->request_class, entry->chain_id);
   verdict = judge (admission, now, entry, cause);
   if (verdict == FQ_ADMISSION_REFUSED && *cause == FQ_CAUSE_OVERLOAD)
     note_refusal (admission, now, entry);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -7,6 +7,7 @@
 #include "core/shed.h"
 #include "filbertquay/errors.h"
 
+#define FQ_LEVEL_SMOOTHING 0.3                    /* weight of one answer's shed level */
 #define FQ_HINT_AGE_US FQ_MICROSECONDS_PER_SECOND /* a load older than this is stale */
 #define FQ_SMOOTHING (1.0 / 8)
 #define FQ_IDLE_BUSY 0.1       /* added, so that latency counts among idle nodes */
@@ -322,7 +323,8 @@
   return level;
 }
 
-/* The least level holds until its node tells another or it is too old. */
+/* A gate that gets little of the load must not speak for the others: each answer counts
+ * alike, so that a gate counts by what it is sent. */
 void
 fq_routing_told_level (fq_routing_t *routing,
                        fq_time_t now,
@@ -332,17 +334,17 @@
 {
   fq_routing_node_t *node = fq_routing_find_node (routing, name);
   fq_routing_level_t *level;
+  double shed = fq_shed_classes (load);
 
   if (node == NULL || node->service == NULL || load->limit == 0)
     return;
   level = level_of (node->service, fq_map_hash (member));
   if (level == NULL)
     return;
-  if (level->node != 0 && level->node != node->name_hash
-      && now - level->at < FQ_HINT_AGE_US && !fq_shed_is_less (load, &level->level))
-    return;
-  level->level = *load;
-  level->node = node->name_hash;
+  if (level->at == 0 || now - level->at >= FQ_HINT_AGE_US)
+    level->shed_classes = shed;
+  else
+    level->shed_classes += FQ_LEVEL_SMOOTHING * (shed - level->shed_classes);
   level->at = now;
 }
 
@@ -359,5 +361,5 @@
 
   *out = (fq_load_t){ .shed_class = FQ_CLASS_COUNT };
   if (level != NULL && now - level->at < FQ_HINT_AGE_US)
-    *out = level->level;
+    fq_shed_set_classes (out, level->shed_classes);
 }
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -131,7 +131,7 @@
                             const fq_load_t *load);
 
 /**
- * fq_routing_shed_level() - the least level that nodes of @service told @member lately.
+ * fq_routing_shed_level() - the mean level that nodes of @service told @member lately.
  *
  * For fq_shed_applies(), and only for requests that start a chain: those of callers
  * outside, and those of an upstream without a chain token.
--- a/src/core/routing_table.h
+++ b/src/core/routing_table.h
@@ -47,12 +47,11 @@
   fq_map_t levels;         /* fq_routing_level_t by member */
 };
 
-/** struct fq_routing_level_t - the least shed level that a member was told. */
+/** struct fq_routing_level_t - the mean shed level that a member was told. */
 typedef struct
 {
-  fq_load_t level;
-  fq_time_t at;
-  uint64_t node; /* name_hash of the one that told it */
+  double shed_classes; /* see fq_shed_classes() */
+  fq_time_t at;        /* 0: nothing was told yet */
 } fq_routing_level_t;
 
 /** struct fq_routing - all of it. */
--- a/src/core/shed.c
+++ b/src/core/shed.c
@@ -1,13 +1,13 @@
 #include "core/shed.h"
 
+#include <math.h>
 #include <xxhash.h>
 
 #define FQ_SHED_INTERVAL_US (100 * FQ_MICROSECONDS_PER_MS)
 #define FQ_SHED_CATCH_UP_MAX 32 /* quiet intervals that are worked off at once */
 #define FQ_SHED_TOLERATED 0.05  /* share of refusals that leaves the level as it is */
-#define FQ_SHED_GAIN 0.5
-#define FQ_SHED_REGROWTH 1.25
-#define FQ_SHED_REGROWTH_MIN 0.03
+#define FQ_SHED_GAIN 0.55
+#define FQ_SHED_REGROWTH 0.04
 #define FQ_SHED_WHOLE 0.05 /* kept share below which a class counts as shed whole */
 #define FQ_PERCENT 100
 #define FQ_RETRY_AFTER_BASE_MS 500
@@ -33,7 +33,7 @@
   if (share > FQ_SHED_TOLERATED)
     *keep *= 1 - FQ_SHED_GAIN * share;
   else if (share == 0)
-    *keep = *keep * FQ_SHED_REGROWTH + FQ_SHED_REGROWTH_MIN;
+    *keep += FQ_SHED_REGROWTH;
   if (*keep > 1)
     *keep = 1;
   shed->offered[request_class] = 0;
@@ -54,17 +54,33 @@
   shed->interval_start = now;
 }
 
+/* What the present level sheds already says nothing of what it should become: such
+ * requests came in under an earlier level, and their refusals follow a wait. */
+static bool
+is_shed_already (const fq_shed_t *shed, fq_class_t request_class, uint64_t chain_id)
+{
+  fq_load_t level;
+
+  fq_shed_level (shed, &level);
+  return fq_shed_applies (&level, request_class, chain_id);
+}
+
 void
-fq_shed_offered (fq_shed_t *shed, fq_time_t now, fq_class_t request_class)
+fq_shed_offered (fq_shed_t *shed,
+                 fq_time_t now,
+                 fq_class_t request_class,
+                 uint64_t chain_id)
 {
   catch_up (shed, now);
-  shed->offered[request_class]++;
+  if (!is_shed_already (shed, request_class, chain_id))
+    shed->offered[request_class]++;
 }
 
 void
-fq_shed_refused (fq_shed_t *shed, fq_class_t request_class)
+fq_shed_refused (fq_shed_t *shed, fq_class_t request_class, uint64_t chain_id)
 {
-  shed->refused[request_class]++;
+  if (!is_shed_already (shed, request_class, chain_id))
+    shed->refused[request_class]++;
 }
 
 /* A class is shed only when all below it are shed whole. */
@@ -96,12 +112,28 @@
   return XXH3_64bits (&chain_id, sizeof chain_id) % FQ_PERCENT < level->shed_percent;
 }
 
-bool
-fq_shed_is_less (const fq_load_t *level, const fq_load_t *other)
+double
+fq_shed_classes (const fq_load_t *level)
+{
+  if (level->shed_class >= FQ_CLASS_COUNT)
+    return 0;
+  return FQ_CLASS_COUNT - 1 - level->shed_class
+         + level->shed_percent / (double)FQ_PERCENT;
+}
+
+void
+fq_shed_set_classes (fq_load_t *out, double classes)
 {
-  if (level->shed_class != other->shed_class)
-    return level->shed_class > other->shed_class;
-  return level->shed_percent < other->shed_percent;
+  double whole = floor (classes);
+
+  out->shed_class = FQ_CLASS_COUNT;
+  out->shed_percent = 0;
+  if (classes <= 0)
+    return;
+  if (whole >= FQ_CLASS_COUNT)
+    whole = FQ_CLASS_COUNT - 1;
+  out->shed_class = (uint8_t)(FQ_CLASS_COUNT - 1 - whole);
+  out->shed_percent = (uint8_t)(FQ_PERCENT * (classes - whole));
 }
 
 static uint32_t
--- a/src/core/shed.h
+++ b/src/core/shed.h
@@ -26,11 +26,19 @@
 /** fq_shed_init() - nothing is shed. */
 void fq_shed_init (fq_shed_t *shed, fq_time_t now);
 
-/** fq_shed_offered() - a request of a class came to the gate. */
-void fq_shed_offered (fq_shed_t *shed, fq_time_t now, fq_class_t request_class);
+/**
+ * fq_shed_offered() - a request of a class came to the gate.
+ *
+ * Requests of chains that the present level sheds do not count, here and in
+ * fq_shed_refused().
+ */
+void fq_shed_offered (fq_shed_t *shed,
+                      fq_time_t now,
+                      fq_class_t request_class,
+                      uint64_t chain_id);
 
 /** fq_shed_refused() - the gate refused it for load, now or after a wait. */
-void fq_shed_refused (fq_shed_t *shed, fq_class_t request_class);
+void fq_shed_refused (fq_shed_t *shed, fq_class_t request_class, uint64_t chain_id);
 
 /** fq_shed_level() - fill in the shed fields of @out. */
 void fq_shed_level (const fq_shed_t *shed, fq_load_t *out);
@@ -39,8 +47,11 @@
 bool
 fq_shed_applies (const fq_load_t *level, fq_class_t request_class, uint64_t chain_id);
 
-/** fq_shed_is_less() - whether @level sheds less than @other. */
-bool fq_shed_is_less (const fq_load_t *level, const fq_load_t *other);
+/** fq_shed_classes() - how many classes @level sheds; a part of one as a fraction. */
+double fq_shed_classes (const fq_load_t *level);
+
+/** fq_shed_set_classes() - fill in the shed fields of @out; see fq_shed_classes(). */
+void fq_shed_set_classes (fq_load_t *out, double classes);
 
 /**
  * fq_shed_retry_after_ms() - when a refused request of a class should come back.
