--- a/src/mesh/config.c
+++ b/src/mesh/config.c
@@ -45,7 +45,7 @@
   for (size_t i = 0; i < config->host_count; i++)
     free_host (&config->hosts[i]);
   for (size_t i = 0; i < config->service_count; i++)
-    free (config->services[i].health_path);
+    free (config->services[i].probe_path);
   free (config->hosts);
   free (config->services);
   free (config->document);
--- a/src/mesh/config.h
+++ b/src/mesh/config.h
@@ -26,11 +26,11 @@
   char name[FQ_NAME_BYTES];
   uint64_t id; /* hash of host and prefix; never 0 */
   char *prefix;
-  bool idempotent;            /* may run more than once */
-  uint32_t timeout_ms;        /* a request is answered by then */
-  uint32_t target_latency_ms; /* an answer by then is worth most */
-  uint32_t max_attempts;      /* servers that one request may be sent to */
-  uint32_t priority;          /* 0 is the highest */
+  bool idempotent;               /* may run more than once */
+  uint32_t timeout_ms;           /* a request is answered by then */
+  uint32_t latency_objective_ms; /* an answer by then is worth most */
+  uint32_t servers_max;          /* servers that one request may be sent to */
+  uint32_t priority;             /* 0 is the highest */
   fq_route_target_t *targets;
   size_t target_count;
 } fq_route_t;
@@ -47,7 +47,7 @@
 typedef struct
 {
   char name[FQ_NAME_BYTES];
-  char *health_path;
+  char *probe_path;
   uint32_t connections_max; /* that one server takes from all callers */
 } fq_service_t;
 
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -79,7 +79,7 @@
   offer->rank = exchange->rank;
   offer->remaining_ms
       = (uint32_t)((exchange->deadline - mesh->now) / FQ_MICROSECONDS_PER_MS);
-  offer->target_latency_ms = exchange->target_latency_ms;
+  offer->latency_objective_ms = exchange->latency_objective_ms;
   offer->route = exchange->route_id;
   offer->chain = exchange->chain;
   offer->fingerprint = exchange->fingerprint;
@@ -137,7 +137,7 @@
       return;
     }
   if (exchange->offers >= FQ_OFFERS_MAX
-      || exchange->servers_reached >= exchange->max_attempts)
+      || exchange->servers_reached >= exchange->servers_max)
     {
       fq_exchange_give_up (mesh, exchange, cause_if_none);
       return;
@@ -183,8 +183,8 @@
   exchange->fingerprint = fingerprint_of (mesh, request);
   exchange->rank = fq_rank_outside (route->priority);
   exchange->chain = XXH3_64bits (request->request_id, strlen (request->request_id)) | 1;
-  exchange->max_attempts = route->max_attempts;
-  exchange->target_latency_ms = route->target_latency_ms;
+  exchange->servers_max = route->servers_max;
+  exchange->latency_objective_ms = route->latency_objective_ms;
   exchange->idempotent = route->idempotent;
   exchange->received = mesh->now;
   exchange->deadline = mesh->now + ms_to_us (allowed_ms);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -91,7 +91,7 @@
   char caller[FQ_NAME_BYTES]; /* service at whose machine the request began */
   uint32_t rank;              /* lower starts first */
   uint32_t remaining_ms;
-  uint32_t target_latency_ms;
+  uint32_t latency_objective_ms;
   uint64_t route;
   uint64_t chain;       /* hash of the request with which all began */
   uint64_t fingerprint; /* of what the server would be asked to do */
--- a/src/mesh/gate_admission.c
+++ b/src/mesh/gate_admission.c
@@ -46,7 +46,7 @@
 fq_gate_wait_max (const fq_mesh_t *mesh, const fq_offer_t *offer)
 {
   double left = (double)offer->remaining_ms * FQ_MICROSECONDS_PER_MS;
-  double target = (double)offer->target_latency_ms * FQ_MICROSECONDS_PER_MS;
+  double target = (double)offer->latency_objective_ms * FQ_MICROSECONDS_PER_MS;
   double run = (double)fq_waiting_expect (&mesh->gate.waiting, offer->route);
   double longest = left * FQ_WAIT_SHARE;
 
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -85,8 +85,8 @@
   uint64_t fingerprint;
   uint64_t chain;
   uint32_t rank;
-  uint32_t max_attempts;
-  uint32_t target_latency_ms;
+  uint32_t servers_max;
+  uint32_t latency_objective_ms;
   bool idempotent;
   bool repeat_of_parent;               /* the work that makes this call is a repeat */
   char parent_id[FQ_REQUEST_ID_BYTES]; /* of the work that makes this call, or empty */
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -188,7 +188,7 @@
     return;
   mesh->gate.probed = true;
   effect = fq_mesh_effect (mesh, FQ_MESH_EFFECT_SERVER_PROBE);
-  fq_text_copy (effect->path, sizeof effect->path, service->health_path);
+  fq_text_copy (effect->path, sizeof effect->path, service->probe_path);
 }
 
 void
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -248,7 +248,7 @@
       return;
     }
   take_nodes (watch, &rows);
-  if (rows.has_more && rows.count > 0)
+  if (rows.more_follows && rows.count > 0)
     set_page (watch, rows.rows[rows.count - 1].key);
   else
     end_reading (watch);
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -539,12 +539,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_latency_ms",
+    "latency_objective_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Fq__Mesh__Offer, target_latency_ms),
+    offsetof(Fq__Mesh__Offer, latency_objective_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -616,13 +616,13 @@
   10,   /* field[10] = chain */
   7,   /* field[7] = fingerprint */
   8,   /* field[8] = idempotent */
+  5,   /* field[5] = latency_objective_ms */
   3,   /* field[3] = rank */
   4,   /* field[4] = remaining_ms */
   9,   /* field[9] = repeat */
   1,   /* field[1] = request_id */
   6,   /* field[6] = route */
   0,   /* field[0] = service */
-  5,   /* field[5] = target_latency_ms */
 };
 static const ProtobufCIntRange fq__mesh__offer__number_ranges[1 + 1] =
 {
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -99,7 +99,7 @@
   char *caller;
   uint32_t rank;
   uint32_t remaining_ms;
-  uint32_t target_latency_ms;
+  uint32_t latency_objective_ms;
   uint64_t route;
   uint64_t fingerprint;
   protobuf_c_boolean idempotent;
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -50,7 +50,7 @@
   wire->offer.caller = (char *)offer->caller;
   wire->offer.rank = offer->rank;
   wire->offer.remaining_ms = offer->remaining_ms;
-  wire->offer.target_latency_ms = offer->target_latency_ms;
+  wire->offer.latency_objective_ms = offer->latency_objective_ms;
   wire->offer.route = offer->route;
   wire->offer.chain = offer->chain;
   wire->offer.fingerprint = offer->fingerprint;
@@ -158,7 +158,7 @@
   fq_text_copy (out->caller, sizeof out->caller, wire->caller);
   out->rank = wire->rank;
   out->remaining_ms = wire->remaining_ms;
-  out->target_latency_ms = wire->target_latency_ms;
+  out->latency_objective_ms = wire->latency_objective_ms;
   out->route = wire->route;
   out->chain = wire->chain;
   out->fingerprint = wire->fingerprint;
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -448,8 +448,8 @@
       route->prefix = strdup (prefixes[i]);
       route->idempotent = i == 0;
       route->timeout_ms = timeout_ms;
-      route->target_latency_ms = timeout_ms;
-      route->max_attempts = 2;
+      route->latency_objective_ms = timeout_ms;
+      route->servers_max = 2;
       route->targets = calloc (1, sizeof *route->targets);
       route->target_count = 1;
       strcpy (route->targets[0].service, "back");
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -41,7 +41,7 @@
   ck_assert_ptr_nonnull (route);
   ck_assert (route->idempotent);
   ck_assert_uint_eq (route->timeout_ms, 1000);
-  ck_assert_uint_eq (route->target_latency_ms, 1500);
+  ck_assert_uint_eq (route->latency_objective_ms, 1500);
   ck_assert_uint_eq (route->priority, 2);
   ck_assert_uint_eq (config->document_size, strlen (good));
   fq_config_unref (config);
