Do not hold back new work for refusals by servers with room

Gates above counted the lost calls as starved and cut the runs at once to a few: the logs show 3,565 lookups refused for no room at gates with free slots, against 583 lost to servers and 265 to the retry budget.

Ruled out: the retry budget as the bound (265 of 4,874 refusals); the order of ranks.

Change: a call that a server refused while nothing waited at its gate marks the run that made it as turned away, not as starved. The mark goes up with the answer frame, since a server in between only says 500. Runs that are both count as starved.

--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -293,6 +293,7 @@
   mesh->metrics.counters[FQ_METRIC_ANSWERED]++;
   fq_histogram_add (&mesh->metrics.exchange_us, mesh->now - exchange->received);
   exchange->servers_reached++;
+  exchange->turned_away = frame->turned_away;
   if (frame->message->status >= FQ_STATUS_SERVER_ERROR)
     fq_exchange_tell_parent (mesh, exchange);
   fq_exchange_log_end (mesh, exchange, frame->message->status, "answered", "none");
@@ -319,6 +320,16 @@
     exchange->retry_after_ms = ms;
 }
 
+/* A server with room that refuses would do so at a lower load too. */
+static void
+note_turned_away (fq_exchange_t *exchange, const fq_frame_t *refusal)
+{
+  if (refusal->cause == FQ_REFUSAL_RETRY_BUDGET)
+    return; /* what ended the attempt before it holds */
+  exchange->turned_away
+      = refusal->cause == FQ_REFUSAL_SERVER_SAID && refusal->room.queued == 0;
+}
+
 static void
 take_refusal (fq_mesh_t *mesh, fq_exchange_t *exchange, const fq_frame_t *frame)
 {
@@ -327,6 +338,7 @@
   if (frame->reached_server)
     exchange->servers_reached++;
   note_retry_after (exchange, frame->retry_after_ms);
+  note_turned_away (exchange, frame);
   if (frame->cause == FQ_REFUSAL_CRASHES || frame->cause == FQ_REFUSAL_RETRY_BUDGET)
     fq_exchange_give_up (mesh, exchange, fq_refusal_name (frame->cause));
   else
--- a/src/mesh/exchange_end.c
+++ b/src/mesh/exchange_end.c
@@ -41,7 +41,11 @@
   if (exchange->parent_id[0] == '\0')
     return;
   parent = fq_gate_run_of_request (mesh, exchange->parent_id);
-  if (parent != NULL)
+  if (parent == NULL)
+    return;
+  if (exchange->turned_away)
+    parent->turned_away = true;
+  else
     parent->starved = true;
 }
 
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -381,15 +381,20 @@
 finish_answered (fq_mesh_t *mesh, fq_gate_run_t *run, fq_http_message_t *answer)
 {
   fq_time_t took = mesh->now - run->started;
-  fq_frame_t frame = { .kind = FQ_FRAME_ANSWER, .attempt = run->attempt };
+  fq_frame_t frame = {
+    .kind = FQ_FRAME_ANSWER,
+    .attempt = run->attempt,
+    .turned_away = run->turned_away && !run->starved,
+  };
 
   mesh->gate.answered_at = mesh->now;
   fq_mesh_log (mesh, false,
                "event=run-end id=%s instance=%s status=%u waited_ms=%lld ran_ms=%lld "
-               "rank=%u starved=%d",
+               "rank=%u starved=%d turned_away=%d",
                run->offer.request_id, mesh->gate.server.instance, answer->status,
                (long long)((run->started - run->arrived) / FQ_MICROSECONDS_PER_MS),
-               (long long)(took / FQ_MICROSECONDS_PER_MS), run->offer.rank, run->starved);
+               (long long)(took / FQ_MICROSECONDS_PER_MS), run->offer.rank, run->starved,
+               run->turned_away);
   fq_blame_clear (&mesh->blame, run->offer.fingerprint);
   fq_histogram_add (&mesh->metrics.run_us, took);
   release_room (mesh, run, took);
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -88,7 +88,8 @@
   uint32_t servers_max;
   uint32_t latency_objective_ms;
   bool idempotent;
-  bool repeat_of_parent;               /* the work that makes this call is a repeat */
+  bool turned_away;      /* a server that had room refused its last attempt */
+  bool repeat_of_parent; /* the work that makes this call is a repeat */
   char parent_id[FQ_REQUEST_ID_BYTES]; /* of the work that makes this call, or empty */
   fq_time_t received;
   fq_time_t deadline;        /* the answer is due */
@@ -124,7 +125,8 @@
   fq_offer_t offer;
   fq_http_message_t *message; /* NULL until it is handed over */
   fq_run_stage_t stage;
-  bool starved; /* a call that the server made for it failed */
+  bool starved;     /* a call that the server made for it failed */
+  bool turned_away; /* a call of it was refused by a server that had room */
   fq_time_t arrived;
   fq_time_t deadline;
   fq_time_t started;
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -644,7 +644,7 @@
   (ProtobufCMessageInit) fq__mesh__offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fq__mesh__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor fq__mesh__frame__field_descriptors[15] =
 {
   {
     "kind",
@@ -814,6 +814,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "turned_away",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fq__Mesh__Frame, turned_away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fq__mesh__frame__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -829,12 +841,13 @@
   8,   /* field[8] = retry_after_ms */
   2,   /* field[2] = room */
   3,   /* field[3] = server */
+  14,   /* field[14] = turned_away */
   10,   /* field[10] = zone */
 };
 static const ProtobufCIntRange fq__mesh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor fq__mesh__frame__descriptor =
 {
@@ -844,7 +857,7 @@
   "Fq__Mesh__Frame",
   "fq.mesh",
   sizeof(Fq__Mesh__Frame),
-  14,
+  15,
   fq__mesh__frame__field_descriptors,
   fq__mesh__frame__field_indices_by_name,
   1,  fq__mesh__frame__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -130,10 +130,11 @@
   size_t n_fingerprints;
   uint64_t *fingerprints;
   ProtobufCBinaryData document;
+  protobuf_c_boolean turned_away;
 };
 #define FQ__MESH__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fq__mesh__frame__descriptor) \
-    , 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL}, 0 }
 
 
 /* Fq__Mesh__Room methods */
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -408,6 +408,8 @@
   strcpy (frame.offer.service, "back");
   strcpy (frame.offer.request_id, request_id);
   frame.offer.rank = 6;
+  frame.offer.route = 1;
+  frame.offer.chain = attempt;
   frame.offer.remaining_ms = 1000;
   frame.offer.idempotent = true;
   frame.offer.repeat = repeat;
@@ -539,6 +541,92 @@
 }
 END_TEST
 
+/* What the servers below do with the calls of running work, and whether the gate above
+ * should take less new work for it. */
+static const struct
+{
+  fq_server_verdict_t verdict;
+  uint16_t status;
+  bool takes_less;
+} calls_below[] = {
+  { FQ_SERVER_ANSWERED, 200, false },
+  { FQ_SERVER_DID_NOT_RUN, 503, false }, /* with room: less load would not help */
+  { FQ_SERVER_ANSWERED, 500, true },
+};
+
+static bool
+is_of_kind (const fleet_run_t *run, const char *kind)
+{
+  return !run->ended && strncmp (run->request_id, kind, strlen (kind)) == 0;
+}
+
+/* The runs whose ids begin with @kind get @verdict as soon as they come. */
+static void
+end_runs_of (const char *kind, fq_server_verdict_t verdict, uint16_t status)
+{
+  for (int ms = 0; ms < 20; ms++)
+    {
+      for (size_t i = 0; i < fleet.run_count; i++)
+        {
+          if (is_of_kind (&fleet.runs[i], kind))
+            fleet_answer (&fleet, &fleet.runs[i], verdict, status);
+        }
+      fleet_pass (&fleet, 1);
+    }
+}
+
+static void
+offer_new_work (const char *kind, int number)
+{
+  char id[FQ_REQUEST_ID_BYTES];
+
+  snprintf (id, sizeof id, "%s-%d", kind, number);
+  offer_to_gate (1, id, false);
+}
+
+/* How many of twenty requests for new work the gate of node 1 runs at once. */
+static size_t
+runs_at_once (void)
+{
+  size_t running = 0;
+
+  for (int i = 0; i < 20; i++)
+    offer_new_work ("new", i);
+  for (size_t i = 0; i < fleet.run_count; i++)
+    running += is_of_kind (&fleet.runs[i], "new");
+  end_runs_of ("new", FQ_SERVER_ANSWERED, 200);
+  return running;
+}
+
+START_TEST (test_refusals_of_servers_with_room_do_not_hold_back_new_work)
+{
+  bool all_end_well = calls_below[_i].status == 200;
+  size_t before = runs_at_once ();
+  size_t after;
+
+  for (int round = 0; round < 8; round++)
+    {
+      for (int i = 0; i < 3; i++)
+        {
+          char parent[FQ_REQUEST_ID_BYTES];
+
+          snprintf (parent, sizeof parent, "parent-%d", i);
+          offer_new_work ("parent", i);
+          fleet_ask (&fleet, 1, "/safe/1", "call", parent);
+        }
+      fleet_pass (&fleet, 100);
+      end_runs_of ("call", calls_below[_i].verdict, calls_below[_i].status);
+      end_runs_of ("parent", FQ_SERVER_ANSWERED, all_end_well ? 200 : 500);
+    }
+  after = runs_at_once ();
+  ck_assert_uint_gt (before, 1);
+  if (calls_below[_i].takes_less)
+    ck_assert_uint_lt (after, before);
+  else
+    ck_assert_uint_eq (after, before);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -572,6 +660,9 @@
   tcase_add_test (tcase, test_stop_ends_before_the_process_is_killed);
   tcase_add_test (tcase, test_stop_takes_no_request_that_could_not_end);
   tcase_add_test (tcase, test_calls_of_running_work_are_known);
+  tcase_add_loop_test (tcase,
+                       test_refusals_of_servers_with_room_do_not_hold_back_new_work, 0,
+                       sizeof calls_below / sizeof calls_below[0]);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
