Refuse frames between nodes that lack a key

A faulty or foreign peer could end a node so with one frame. A frame that could not be read also ended its connection without a line.

Ruled out: leaving it to the maps' users; they would each need a way on.

Change: the codec refuses an offer without route or fingerprint, and lists with an address or fingerprint 0; the connection ends, with event=frame-refused and the fault.

Conclusion: no frame of a peer reaches an abort() over a key.

--- a/src/node/links.c
+++ b/src/node/links.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "filbertquay/errors.h"
+#include "node/event_log.h"
 #include "util/map.h"
 #include "wire/mesh_codec.h"
 
@@ -93,6 +94,9 @@
         return;
       if (error < 0)
         {
+          fq_event_log_printf (
+              true, "event=frame-refused node=%08x asker=%llu fault=\"%s\"", node,
+              (unsigned long long)asker, fq_error_last ()->message);
           fq_frame_clear (&frame);
           end_link (link);
           return;
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -226,6 +226,29 @@
   return wire->message == NULL ? FQ_OK : message_of_wire (out, wire->message);
 }
 
+/* Addresses, routes and fingerprints are keys, and no key is 0. */
+static bool
+has_its_keys (const Fq__Mesh__Frame *wire)
+{
+  bool is_offer = wire->kind == FQ_FRAME_OFFER;
+
+  if (is_offer
+      && (wire->offer == NULL || wire->offer->route == 0
+          || wire->offer->fingerprint == 0))
+    return false;
+  for (size_t i = 0; i < wire->n_nodes; i++)
+    {
+      if (wire->nodes[i] == 0)
+        return false;
+    }
+  for (size_t i = 0; i < wire->n_fingerprints; i++)
+    {
+      if (wire->fingerprints[i] == 0)
+        return false;
+    }
+  return true;
+}
+
 int
 fq_mesh_frame_read (fq_frame_t *out, fq_buffer_t *in)
 {
@@ -245,7 +268,11 @@
   if (wire == NULL)
     return fq_error_set (FQ_ERROR_CLASS_WIRE, FQ_ERROR_INVALID,
                          "a frame that can't be read");
-  error = frame_of_wire (out, wire);
+  if (has_its_keys (wire))
+    error = frame_of_wire (out, wire);
+  else
+    error = fq_error_set (FQ_ERROR_CLASS_WIRE, FQ_ERROR_INVALID,
+                          "a frame of kind %u without a key", wire->kind);
   fq__mesh__frame__free_unpacked (wire, NULL);
   fq_buffer_consume (in, FQ_LENGTH_BYTES + (size_t)size);
   return error;
--- /dev/null
+++ b/tests/node/test_mesh_codec.c
@@ -0,0 +1,114 @@
+/**
+ * DOC: Frames between nodes: what is written is read again, and what would be no key is
+ * refused.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "filbertquay/errors.h"
+#include "wire/mesh_codec.h"
+
+static fq_buffer_t buffer;
+static fq_frame_t frame;
+
+static void
+teardown (void)
+{
+  fq_frame_clear (&frame);
+  fq_buffer_clear (&buffer);
+}
+
+static int
+write_and_read (const fq_frame_t *sent)
+{
+  fq_mesh_frame_write (&buffer, sent);
+  return fq_mesh_frame_read (&frame, &buffer);
+}
+
+static fq_frame_t
+good_offer (void)
+{
+  fq_frame_t offer = { .kind = FQ_FRAME_OFFER, .attempt = 7 };
+
+  strcpy (offer.offer.service, "back");
+  strcpy (offer.offer.request_id, "r1");
+  offer.offer.route = 1;
+  offer.offer.fingerprint = 2;
+  offer.offer.remaining_ms = 500;
+  return offer;
+}
+
+START_TEST (test_offer_is_read_as_it_was_written)
+{
+  fq_frame_t offer = good_offer ();
+
+  ck_assert_int_eq (write_and_read (&offer), 0);
+  ck_assert_int_eq (frame.kind, FQ_FRAME_OFFER);
+  ck_assert_uint_eq (frame.attempt, 7);
+  ck_assert_str_eq (frame.offer.service, "back");
+  ck_assert_str_eq (frame.offer.request_id, "r1");
+  ck_assert_uint_eq (frame.offer.remaining_ms, 500);
+}
+END_TEST
+
+START_TEST (test_answer_tells_whether_calls_were_turned_away)
+{
+  fq_frame_t answer = { .kind = FQ_FRAME_ANSWER, .attempt = 7, .turned_away = true };
+
+  ck_assert_int_eq (write_and_read (&answer), 0);
+  ck_assert (frame.turned_away);
+}
+END_TEST
+
+static const struct
+{
+  uint64_t route;
+  uint64_t fingerprint;
+} offers_without_key[] = { { 0, 2 }, { 1, 0 } };
+
+START_TEST (test_offer_without_a_key_is_refused)
+{
+  fq_frame_t offer = good_offer ();
+
+  offer.offer.route = offers_without_key[_i].route;
+  offer.offer.fingerprint = offers_without_key[_i].fingerprint;
+  ck_assert_int_eq (write_and_read (&offer), FQ_ERROR_INVALID);
+  ck_assert_uint_eq (fq_buffer_size (&buffer), 0);
+}
+END_TEST
+
+START_TEST (test_list_with_no_address_or_fingerprint_is_refused)
+{
+  fq_node_address_t nodes[] = { 0x0a000001, 0 };
+  uint64_t fingerprints[] = { 5, 0 };
+  fq_frame_t hello = { .kind = FQ_FRAME_HELLO, .nodes = nodes, .node_count = 2 };
+  fq_frame_t blame = { .kind = FQ_FRAME_BLAME };
+
+  blame.fingerprints = fingerprints;
+  blame.fingerprint_count = 2;
+  ck_assert_int_eq (write_and_read (&hello), FQ_ERROR_INVALID);
+  ck_assert_int_eq (write_and_read (&blame), FQ_ERROR_INVALID);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("mesh codec");
+  TCase *tcase = tcase_create ("mesh codec");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, NULL, teardown);
+  tcase_add_test (tcase, test_offer_is_read_as_it_was_written);
+  tcase_add_test (tcase, test_answer_tells_whether_calls_were_turned_away);
+  tcase_add_loop_test (tcase, test_offer_without_a_key_is_refused, 0,
+                       sizeof offers_without_key / sizeof offers_without_key[0]);
+  tcase_add_test (tcase, test_list_with_no_address_or_fingerprint_is_refused);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
