Do not hold back new work for calls that found no gate

Seen once the limit was logged (event=rank-limit, new).

Change: a call that could be offered to no gate does not count as starved.

--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -143,10 +143,15 @@
       return;
     }
   peer = fq_choice_of_gate (mesh, exchange);
-  if (peer == NULL)
-    fq_exchange_give_up (mesh, exchange, cause_if_none);
-  else
-    offer_to (mesh, exchange, peer);
+  if (peer != NULL)
+    {
+      offer_to (mesh, exchange, peer);
+      return;
+    }
+  /* Where no server is, there is none to be relieved. */
+  if (exchange->offers == 0)
+    exchange->lost_otherwise = true;
+  fq_exchange_give_up (mesh, exchange, cause_if_none);
 }
 
 static uint64_t
@@ -293,7 +298,7 @@
   mesh->metrics.counters[FQ_METRIC_ANSWERED]++;
   fq_histogram_add (&mesh->metrics.exchange_us, mesh->now - exchange->received);
   exchange->servers_reached++;
-  exchange->turned_away = frame->turned_away;
+  exchange->lost_otherwise = frame->lost_otherwise;
   if (frame->message->status >= FQ_STATUS_SERVER_ERROR)
     fq_exchange_tell_parent (mesh, exchange);
   fq_exchange_log_end (mesh, exchange, frame->message->status, "answered", "none");
@@ -322,11 +327,11 @@
 
 /* A server with room that refuses would do so at a lower load too. */
 static void
-note_turned_away (fq_exchange_t *exchange, const fq_frame_t *refusal)
+judge_refusal (fq_exchange_t *exchange, const fq_frame_t *refusal)
 {
   if (refusal->cause == FQ_REFUSAL_RETRY_BUDGET)
     return; /* what ended the attempt before it holds */
-  exchange->turned_away
+  exchange->lost_otherwise
       = refusal->cause == FQ_REFUSAL_SERVER_SAID && refusal->room.queued == 0;
 }
 
@@ -338,7 +343,7 @@
   if (frame->reached_server)
     exchange->servers_reached++;
   note_retry_after (exchange, frame->retry_after_ms);
-  note_turned_away (exchange, frame);
+  judge_refusal (exchange, frame);
   if (frame->cause == FQ_REFUSAL_CRASHES || frame->cause == FQ_REFUSAL_RETRY_BUDGET)
     fq_exchange_give_up (mesh, exchange, fq_refusal_name (frame->cause));
   else
--- a/src/mesh/exchange_end.c
+++ b/src/mesh/exchange_end.c
@@ -43,8 +43,8 @@
   parent = fq_gate_run_of_request (mesh, exchange->parent_id);
   if (parent == NULL)
     return;
-  if (exchange->turned_away)
-    parent->turned_away = true;
+  if (exchange->lost_otherwise)
+    parent->lost_otherwise = true;
   else
     parent->starved = true;
 }
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -110,7 +110,7 @@
   fq_http_message_t *message; /* counted reference; NULL: none */
   fq_refusal_t cause;
   bool reached_server; /* the server got the request, though it did not run */
-  bool turned_away;    /* of an answer: its run lost calls only to servers with room */
+  bool lost_otherwise; /* of an answer: its run lost calls, but none for lack of room */
   uint32_t retry_after_ms;
   uint64_t number; /* of a ping; the version of a configuration; the name of a crash */
   char zone[FQ_NAME_BYTES];
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -117,6 +117,23 @@
   return run->started - run->arrived < (run->deadline - run->arrived) / 4;
 }
 
+/* Whether the calls of work of a rank find room decides how much of it runs at once. */
+static void
+learn_of_calls (fq_mesh_t *mesh, const fq_gate_run_t *run)
+{
+  fq_waiting_t *waiting = &mesh->gate.waiting;
+  uint32_t rank = run->waiting.rank;
+  uint32_t before = fq_waiting_rank_limit (waiting, rank);
+  uint32_t limit;
+
+  fq_waiting_learn (waiting, mesh->now, run->started, rank, run->starved);
+  limit = fq_waiting_rank_limit (waiting, rank);
+  if (limit == before)
+    return;
+  fq_mesh_log (mesh, false, "event=rank-limit rank=%u limit=%u previous=%u in_flight=%u",
+               rank, limit, before, waiting->rank_in_flight[rank]);
+}
+
 /* @took: how long the server worked, 0 when that tells nothing of its speed. */
 static void
 release_room (fq_mesh_t *mesh, fq_gate_run_t *run, fq_time_t took)
@@ -130,7 +147,7 @@
     }
   fq_waiting_end (waiting, &run->waiting, took);
   if ((took > 0 || run->starved) && had_time (run))
-    fq_waiting_learn (waiting, mesh->now, run->started, run->waiting.rank, run->starved);
+    learn_of_calls (mesh, run);
 }
 
 static void
@@ -384,17 +401,17 @@
   fq_frame_t frame = {
     .kind = FQ_FRAME_ANSWER,
     .attempt = run->attempt,
-    .turned_away = run->turned_away && !run->starved,
+    .lost_otherwise = run->lost_otherwise && !run->starved,
   };
 
   mesh->gate.answered_at = mesh->now;
   fq_mesh_log (mesh, false,
                "event=run-end id=%s instance=%s status=%u waited_ms=%lld ran_ms=%lld "
-               "rank=%u starved=%d turned_away=%d",
+               "rank=%u starved=%d lost_otherwise=%d",
                run->offer.request_id, mesh->gate.server.instance, answer->status,
                (long long)((run->started - run->arrived) / FQ_MICROSECONDS_PER_MS),
                (long long)(took / FQ_MICROSECONDS_PER_MS), run->offer.rank, run->starved,
-               run->turned_away);
+               run->lost_otherwise);
   fq_blame_clear (&mesh->blame, run->offer.fingerprint);
   fq_histogram_add (&mesh->metrics.run_us, took);
   release_room (mesh, run, took);
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -88,7 +88,7 @@
   uint32_t servers_max;
   uint32_t latency_objective_ms;
   bool idempotent;
-  bool turned_away;      /* a server that had room refused its last attempt */
+  bool lost_otherwise;   /* its last attempt failed, but not for lack of room */
   bool repeat_of_parent; /* the work that makes this call is a repeat */
   char parent_id[FQ_REQUEST_ID_BYTES]; /* of the work that makes this call, or empty */
   fq_time_t received;
@@ -125,8 +125,8 @@
   fq_offer_t offer;
   fq_http_message_t *message; /* NULL until it is handed over */
   fq_run_stage_t stage;
-  bool starved;     /* a call that the server made for it failed */
-  bool turned_away; /* a call of it was refused by a server that had room */
+  bool starved;        /* a call that the server made for it failed */
+  bool lost_otherwise; /* a call of it failed, but not for lack of room */
   fq_time_t arrived;
   fq_time_t deadline;
   fq_time_t started;
--- a/src/mesh/waiting.c
+++ b/src/mesh/waiting.c
@@ -217,6 +217,14 @@
     learn (waiting, entry->route, took);
 }
 
+uint32_t
+fq_waiting_rank_limit (const fq_waiting_t *waiting, uint32_t rank)
+{
+  uint32_t limit = fq_pressure_limit (&waiting->pressure[rank]);
+
+  return limit == FQ_PRESSURE_NO_LIMIT ? 0 : limit;
+}
+
 /* Calls of work that runs are never held back: the work itself was let in too early. */
 void
 fq_waiting_learn (
--- a/src/mesh/waiting.h
+++ b/src/mesh/waiting.h
@@ -79,6 +79,9 @@
 /** fq_waiting_end() - @entry no longer runs. @took: 0 when that tells nothing. */
 void fq_waiting_end (fq_waiting_t *waiting, fq_waiting_entry_t *entry, fq_time_t took);
 
+/** fq_waiting_rank_limit() - runs of @rank at once; 0: as many as there is room for. */
+uint32_t fq_waiting_rank_limit (const fq_waiting_t *waiting, uint32_t rank);
+
 /** fq_waiting_learn() - a run of @rank ended; @starved: a call of it found no room. */
 void fq_waiting_learn (
     fq_waiting_t *waiting, fq_time_t now, fq_time_t started, uint32_t rank, bool starved);
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -815,12 +815,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "turned_away",
+    "lost_otherwise",
     15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Fq__Mesh__Frame, turned_away),
+    offsetof(Fq__Mesh__Frame, lost_otherwise),
     NULL,
     NULL,
     0,             /* flags */
@@ -833,6 +833,7 @@
   13,   /* field[13] = document */
   12,   /* field[12] = fingerprints */
   0,   /* field[0] = kind */
+  14,   /* field[14] = lost_otherwise */
   5,   /* field[5] = message */
   11,   /* field[11] = nodes */
   9,   /* field[9] = number */
@@ -841,7 +842,6 @@
   8,   /* field[8] = retry_after_ms */
   2,   /* field[2] = room */
   3,   /* field[3] = server */
-  14,   /* field[14] = turned_away */
   10,   /* field[10] = zone */
 };
 static const ProtobufCIntRange fq__mesh__frame__number_ranges[1 + 1] =
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -130,7 +130,7 @@
   size_t n_fingerprints;
   uint64_t *fingerprints;
   ProtobufCBinaryData document;
-  protobuf_c_boolean turned_away;
+  protobuf_c_boolean lost_otherwise;
 };
 #define FQ__MESH__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fq__mesh__frame__descriptor) \
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -429,7 +429,8 @@
 {
   fq_config_t *config = fq_config_new ();
   fq_virtual_host_t *host;
-  static const char *const prefixes[] = { "/safe/", "/once/" };
+  static const char *const prefixes[] = { "/safe/", "/once/", "/absent/" };
+  static const char *const services[] = { "back", "back", "absent" };
 
   config->version = version;
   config->document = (uint8_t *)strdup ("document");
@@ -438,9 +439,9 @@
   config->host_count = 1;
   host = &config->hosts[0];
   strcpy (host->host, "h");
-  host->routes = calloc (2, sizeof *host->routes);
-  host->route_count = 2;
-  for (size_t i = 0; i < 2; i++)
+  host->route_count = sizeof prefixes / sizeof prefixes[0];
+  host->routes = calloc (host->route_count, sizeof *host->routes);
+  for (size_t i = 0; i < host->route_count; i++)
     {
       fq_route_t *route = &host->routes[i];
 
@@ -452,7 +453,7 @@
       route->servers_max = 2;
       route->targets = calloc (1, sizeof *route->targets);
       route->target_count = 1;
-      strcpy (route->targets[0].service, "back");
+      strcpy (route->targets[0].service, services[i]);
       route->targets[0].weight = 1;
     }
   fq_config_finish (config);
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -545,13 +545,15 @@
  * should take less new work for it. */
 static const struct
 {
+  const char *target; /* of the calls */
   fq_server_verdict_t verdict;
   uint16_t status;
   bool takes_less;
 } calls_below[] = {
-  { FQ_SERVER_ANSWERED, 200, false },
-  { FQ_SERVER_DID_NOT_RUN, 503, false }, /* with room: less load would not help */
-  { FQ_SERVER_ANSWERED, 500, true },
+  { "/safe/1", FQ_SERVER_ANSWERED, 200, false },
+  { "/safe/1", FQ_SERVER_DID_NOT_RUN, 503, false }, /* though it has room */
+  { "/absent/1", FQ_SERVER_ANSWERED, 500, false },  /* no gate is there to be asked */
+  { "/safe/1", FQ_SERVER_ANSWERED, 500, true },
 };
 
 static bool
@@ -598,7 +600,7 @@
   return running;
 }
 
-START_TEST (test_refusals_of_servers_with_room_do_not_hold_back_new_work)
+START_TEST (test_only_calls_without_room_hold_back_new_work)
 {
   bool all_end_well = calls_below[_i].status == 200;
   size_t before = runs_at_once ();
@@ -612,7 +614,7 @@
 
           snprintf (parent, sizeof parent, "parent-%d", i);
           offer_new_work ("parent", i);
-          fleet_ask (&fleet, 1, "/safe/1", "call", parent);
+          fleet_ask (&fleet, 1, calls_below[_i].target, "call", parent);
         }
       fleet_pass (&fleet, 100);
       end_runs_of ("call", calls_below[_i].verdict, calls_below[_i].status);
@@ -660,8 +662,7 @@
   tcase_add_test (tcase, test_stop_ends_before_the_process_is_killed);
   tcase_add_test (tcase, test_stop_takes_no_request_that_could_not_end);
   tcase_add_test (tcase, test_calls_of_running_work_are_known);
-  tcase_add_loop_test (tcase,
-                       test_refusals_of_servers_with_room_do_not_hold_back_new_work, 0,
+  tcase_add_loop_test (tcase, test_only_calls_without_room_hold_back_new_work, 0,
                        sizeof calls_below / sizeof calls_below[0]);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/node/test_mesh_codec.c
+++ b/tests/node/test_mesh_codec.c
@@ -52,12 +52,12 @@
 }
 END_TEST
 
-START_TEST (test_answer_tells_whether_calls_were_turned_away)
+START_TEST (test_answer_tells_whether_calls_were_lost_otherwise)
 {
-  fq_frame_t answer = { .kind = FQ_FRAME_ANSWER, .attempt = 7, .turned_away = true };
+  fq_frame_t answer = { .kind = FQ_FRAME_ANSWER, .attempt = 7, .lost_otherwise = true };
 
   ck_assert_int_eq (write_and_read (&answer), 0);
-  ck_assert (frame.turned_away);
+  ck_assert (frame.lost_otherwise);
 }
 END_TEST
 
@@ -102,7 +102,7 @@
 
   tcase_add_checked_fixture (tcase, NULL, teardown);
   tcase_add_test (tcase, test_offer_is_read_as_it_was_written);
-  tcase_add_test (tcase, test_answer_tells_whether_calls_were_turned_away);
+  tcase_add_test (tcase, test_answer_tells_whether_calls_were_lost_otherwise);
   tcase_add_loop_test (tcase, test_offer_without_a_key_is_refused, 0,
                        sizeof offers_without_key / sizeof offers_without_key[0]);
   tcase_add_test (tcase, test_list_with_no_address_or_fingerprint_is_refused);
