--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -41,11 +41,11 @@
 int fq_cli_ticket (int argc, char **argv);
 int fq_cli_status (int argc, char **argv);
 int fq_cli_events (int argc, char **argv);
-int fq_cli_report (int argc, char **argv);
+int fq_cli_report_burn (int argc, char **argv);
 int fq_cli_check_settings (int argc, char **argv);
 int fq_cli_load (int argc, char **argv);
 int fq_cli_explain (int argc, char **argv);
-int fq_cli_day (int argc, char **argv);
+int fq_cli_report_day (int argc, char **argv);
 
 /**
  * fq_cli_read_key() - "Bearer KEY" from the first line of the file @path, or from the
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -9,15 +9,26 @@
 
 #define FQ_COMMAND_NAME_BYTES 64
 
+/* Reports are told apart by the second word: one asks a node, the other reads logs. */
+static int
+report (int argc, char **argv)
+{
+  static char name[] = "filbertquay report day";
+
+  if (argc < 2 || strcmp (argv[1], "day") != 0)
+    return fq_cli_report_burn (argc, argv);
+  argv[1] = name;
+  return fq_cli_report_day (argc - 1, argv + 1);
+}
+
 static const fq_cli_command_t commands[] = {
   { "ticket", fq_cli_ticket },
   { "status", fq_cli_status },
   { "events", fq_cli_events },
-  { "report", fq_cli_report },
+  { "report", report },
   { "check-settings", fq_cli_check_settings },
   { "load", fq_cli_load },
   { "explain", fq_cli_explain },
-  { "day", fq_cli_day },
 };
 
 typedef struct
@@ -77,10 +88,10 @@
            "  status               what the node knows and does now\n"
            "  events               recent refusals, ejections and changes, with causes\n"
            "  report burn          service-level burn by service and class\n"
+           "  report day LOG...    refusals, retries, drains and configurations by time\n"
            "  check-settings FILE  check a node's settings\n"
            "  load                 send requests at a planned rate\n"
            "  explain ID LOG...    what became of a request, from the logs of nodes\n"
-           "  day LOG...           refusals, retries, drains and configurations by time\n"
            "\n"
            "COMMAND --help explains each.\n"
            "\n" FQ_CLI_EXIT_DOC,
--- a/src/cli/operator.c
+++ b/src/cli/operator.c
@@ -315,14 +315,14 @@
 }
 
 int
-fq_cli_report (int argc, char **argv)
+fq_cli_report_burn (int argc, char **argv)
 {
   static const struct argp argp = {
     .options = option_table,
     .parser = parse_option,
-    .args_doc = "burn",
+    .args_doc = "burn\nday LOG...",
     .doc = "Show how fast each service and class uses up its error budget, for one "
-           "member.\v" FQ_CLI_EXIT_DOC,
+           "member; or, from logs, what happened over their time.\v" FQ_CLI_EXIT_DOC,
   };
   options_t options;
 
--- a/src/cli/day.c
+++ b/src/cli/report_day.c
@@ -1,7 +1,7 @@
 /**
- * DOC: `filbertquay day`: what happened over a time, from the logs of all nodes: requests
- * by outcome, refusals by cause, repeats, drains and configurations; as text, JSON, or
- * data and script for gnuplot.
+ * DOC: `filbertquay report day`: what happened over a time, from the logs of all nodes:
+ * requests by outcome, refusals by cause, repeats, drains and configurations; as text,
+ * JSON, or data and script for gnuplot.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -272,7 +272,7 @@
 }
 
 int
-fq_cli_day (int argc, char **argv)
+fq_cli_report_day (int argc, char **argv)
 {
   static const struct argp_option table[] = {
     { "json", 'j', NULL, 0, "Write JSON", 0 },
@@ -295,7 +295,7 @@
     {
       if (fq_event_lines_read (&lines, options.paths[i]) < 0)
         {
-          fprintf (stderr, "filbertquay day: %s\n", fq_error_last ()->message);
+          fprintf (stderr, "filbertquay report day: %s\n", fq_error_last ()->message);
           goto done;
         }
     }
--- a/tests/process/test_explain.sh
+++ b/tests/process/test_explain.sh
@@ -91,8 +91,8 @@
 "$build/filbertquay" explain early "$work/cut.log" >/dev/null 2>"$work/error" || true
 grep -q 'lines are cut' "$work/error" || fail "a cut log is not told"
 
-"$build/filbertquay" day "${logs[@]}" | grep -q 'no-room r-once' || fail "day as text"
-"$build/filbertquay" day --json "${logs[@]}" | jq -e '.repeats >= 1' >/dev/null \
+"$build/filbertquay" report day "${logs[@]}" | grep -q 'no-room r-once' || fail "day as text"
+"$build/filbertquay" report day --json "${logs[@]}" | jq -e '.repeats >= 1' >/dev/null \
   || fail "day as JSON"
-"$build/filbertquay" day --plot "${logs[@]}" | grep -q '^plot' || fail "day as a plot"
+"$build/filbertquay" report day --plot "${logs[@]}" | grep -q '^plot' || fail "day as a plot"
 echo "1 passed, 0 failed"
