Give src/core a folder for each concern

Cause: sixty files lay flat; a decision was found only by knowing its file's name. Change: admission, routing, retries, once, membership, tickets and reports; the dispatcher, calls, runs and what they share stay beside them. Moves and includes only.

--- a/fuzzers/tickets.c
+++ b/fuzzers/tickets.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/ticket_document.h"
+#include "core/tickets/ticket_document.h"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
--- a/src/core/admission.c
+++ b/src/core/admission/admission.c
@@ -1,4 +1,4 @@
-#include "core/admission.h"
+#include "core/admission/admission.h"
 
 #include <stdlib.h>
 
--- a/src/core/admission.h
+++ b/src/core/admission/admission.h
@@ -12,9 +12,9 @@
 #ifndef FQ_CORE_ADMISSION_H
 #define FQ_CORE_ADMISSION_H
 
-#include "core/limiter.h"
-#include "core/queue.h"
-#include "core/shed.h"
+#include "core/admission/limiter.h"
+#include "core/admission/queue.h"
+#include "core/admission/shed.h"
 #include "filbertquay/types.h"
 
 typedef struct fq_admission fq_admission_t;
--- a/src/core/limiter.c
+++ b/src/core/admission/limiter.c
@@ -1,4 +1,4 @@
-#include "core/limiter.h"
+#include "core/admission/limiter.h"
 
 #include <math.h>
 
--- a/src/core/queue.c
+++ b/src/core/admission/queue.c
@@ -1,4 +1,4 @@
-#include "core/queue.h"
+#include "core/admission/queue.h"
 
 #include <stdlib.h>
 
--- a/src/core/shed.c
+++ b/src/core/admission/shed.c
@@ -1,4 +1,4 @@
-#include "core/shed.h"
+#include "core/admission/shed.h"
 
 #include <math.h>
 #include <xxhash.h>
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -5,9 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/admission/shed.h"
 #include "core/core_private.h"
 #include "core/refusal.h"
-#include "core/shed.h"
 #include "filbertquay/errors.h"
 #include "util/text.h"
 
--- a/src/core/dissemination.c
+++ b/src/core/membership/dissemination.c
@@ -1,4 +1,4 @@
-#include "core/dissemination.h"
+#include "core/membership/dissemination.h"
 
 #include <string.h>
 
--- a/src/core/dissemination.h
+++ b/src/core/membership/dissemination.h
@@ -9,7 +9,7 @@
 #ifndef FQ_CORE_DISSEMINATION_H
 #define FQ_CORE_DISSEMINATION_H
 
-#include "core/view.h"
+#include "core/membership/view.h"
 
 #define FQ_TELLS_MAX 64 /* no view is large enough for more tells of one entry */
 
--- a/src/core/membership.c
+++ b/src/core/membership/membership.c
@@ -1,9 +1,9 @@
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 #include "filbertquay/errors.h"
 #include "util/text.h"
 
--- a/src/core/membership_private.h
+++ b/src/core/membership/membership_private.h
@@ -4,9 +4,9 @@
 #ifndef FQ_CORE_MEMBERSHIP_PRIVATE_H
 #define FQ_CORE_MEMBERSHIP_PRIVATE_H
 
-#include "core/dissemination.h"
-#include "core/membership.h"
-#include "core/view.h"
+#include "core/membership/dissemination.h"
+#include "core/membership/membership.h"
+#include "core/membership/view.h"
 #include "util/random.h"
 
 #define FQ_PROBE_PERIOD_US FQ_MICROSECONDS_PER_SECOND
--- a/src/core/merge.c
+++ b/src/core/membership/merge.c
@@ -6,7 +6,7 @@
  */
 #include <string.h>
 
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 
 void
 fq_merge_state (fq_membership_t *membership,
--- a/src/core/probe.c
+++ b/src/core/membership/probe.c
@@ -6,7 +6,7 @@
  */
 #include <string.h>
 
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 #include "util/text.h"
 
 #define FQ_PROBE_TIMEOUT_US 200000 /* until the next try */
--- a/src/core/rush.c
+++ b/src/core/membership/rush.c
@@ -5,7 +5,7 @@
  * With FQ_RUSH_NODES nodes told by each, the number of nodes that know grows by that
  * factor with every round trip; the probes of every period reach those that were missed.
  */
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 
 #define FQ_RUSH_NODES 4
 
--- a/src/core/suspicion.c
+++ b/src/core/membership/suspicion.c
@@ -5,7 +5,7 @@
  * of the failure domain. Then some other nodes of it are tried, and if they are silent
  * too, all are kept as unreachable: a cut and a loss of power look the same from here.
  */
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 
 #define FQ_SUSPICION_PERIODS_PER_DOUBLING 2
 #define FQ_SUSPICION_ASKS 6
--- a/src/core/sync.c
+++ b/src/core/membership/sync.c
@@ -10,7 +10,7 @@
  */
 #include <string.h>
 
-#include "core/membership_private.h"
+#include "core/membership/membership_private.h"
 
 #define FQ_SYNC_DIFFER_US (2LL * FQ_MICROSECONDS_PER_SECOND) /* while views differ */
 #define FQ_SYNC_RETRY_US 500000
--- a/src/core/view.c
+++ b/src/core/membership/view.c
@@ -1,4 +1,4 @@
-#include "core/view.h"
+#include "core/membership/view.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/core/once.c
+++ b/src/core/once/once.c
@@ -1,9 +1,9 @@
-#include "core/once.h"
+#include "core/once/once.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once_private.h"
+#include "core/once/once_private.h"
 #include "filbertquay/errors.h"
 #include "util/text.h"
 
--- a/src/core/once_claim.c
+++ b/src/core/once/once_claim.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once_private.h"
+#include "core/once/once_private.h"
 
 #define FQ_ONCE_CLAIM_PATIENCE_US (2 * FQ_MICROSECONDS_PER_SECOND)
 
--- a/src/core/once_entry.c
+++ b/src/core/once/once_entry.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once_private.h"
+#include "core/once/once_private.h"
 #include "core/store_ids.h"
 
 fq_once_entry_t *
--- a/src/core/once_outcome.c
+++ b/src/core/once/once_outcome.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once_private.h"
+#include "core/once/once_private.h"
 
 #define FQ_ONCE_INLINE_BYTES 8192          /* of body; a larger one becomes an object */
 #define FQ_ONCE_KEPT_BYTES_MAX (32u << 20) /* of bodies on their way to the store */
--- a/src/core/once_private.h
+++ b/src/core/once/once_private.h
@@ -7,10 +7,10 @@
 #ifndef FQ_CORE_ONCE_PRIVATE_H
 #define FQ_CORE_ONCE_PRIVATE_H
 
-#include "core/once.h"
-#include "core/once_row.h"
-#include "core/once_sweep.h"
-#include "core/once_writer.h"
+#include "core/once/once.h"
+#include "core/once/once_row.h"
+#include "core/once/once_sweep.h"
+#include "core/once/once_writer.h"
 #include "util/map.h"
 #include "util/random.h"
 #include "util/wheel.h"
--- a/src/core/once_probe.c
+++ b/src/core/once/once_probe.c
@@ -2,7 +2,7 @@
  * DOC: Whether the store answers: claims are refused while it does not, and one read now
  * and then finds out when it does again.
  */
-#include "core/once_private.h"
+#include "core/once/once_private.h"
 #include "core/store_ids.h"
 
 #define FQ_ONCE_LOSSES_DOWN 2 /* lost answers in a row after which the store is down */
--- a/src/core/once_row.c
+++ b/src/core/once/once_row.c
@@ -1,4 +1,4 @@
-#include "core/once_row.h"
+#include "core/once/once_row.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/core/once_sweep.c
+++ b/src/core/once/once_sweep.c
@@ -1,10 +1,10 @@
-#include "core/once_sweep.h"
+#include "core/once/once_sweep.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once.h"
+#include "core/once/once.h"
 #include "core/store_ids.h"
 #include "util/text.h"
 
--- a/src/core/once_sweep.h
+++ b/src/core/once/once_sweep.h
@@ -7,7 +7,7 @@
 #ifndef FQ_CORE_ONCE_SWEEP_H
 #define FQ_CORE_ONCE_SWEEP_H
 
-#include "core/once_row.h"
+#include "core/once/once_row.h"
 #include "filbertquay/effect.h"
 #include "util/random.h"
 
--- a/src/core/once_writer.c
+++ b/src/core/once/once_writer.c
@@ -1,4 +1,4 @@
-#include "core/once_writer.h"
+#include "core/once/once_writer.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/burn.c
+++ b/src/core/reports/burn.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/burn_private.h"
+#include "core/reports/burn_private.h"
 #include "core/store_ids.h"
 #include "util/text.h"
 
--- a/src/core/burn.h
+++ b/src/core/reports/burn.h
@@ -11,7 +11,7 @@
 
 #include <jansson.h>
 
-#include "core/ticket.h"
+#include "core/tickets/ticket.h"
 #include "filbertquay/effect.h"
 #include "filbertquay/event.h"
 
--- a/src/core/burn_private.h
+++ b/src/core/reports/burn_private.h
@@ -4,9 +4,9 @@
 #ifndef FQ_CORE_BURN_PRIVATE_H
 #define FQ_CORE_BURN_PRIVATE_H
 
-#include "core/burn.h"
-#include "core/burn_report.h"
-#include "core/burn_table.h"
+#include "core/reports/burn.h"
+#include "core/reports/burn_report.h"
+#include "core/reports/burn_table.h"
 #include "util/random.h"
 
 #define FQ_BURN_KEY_BYTES (FQ_NAME_BYTES + FQ_SERVICE_BYTES + 8)
--- a/src/core/burn_question.c
+++ b/src/core/reports/burn_question.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/burn_private.h"
+#include "core/reports/burn_private.h"
 #include "util/text.h"
 
 #define FQ_BURN_ROWS_PER_SCAN 32
--- a/src/core/burn_report.c
+++ b/src/core/reports/burn_report.c
@@ -1,4 +1,4 @@
-#include "core/burn_report.h"
+#include "core/reports/burn_report.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/core/burn_report.h
+++ b/src/core/reports/burn_report.h
@@ -4,8 +4,8 @@
 #ifndef FQ_CORE_BURN_REPORT_H
 #define FQ_CORE_BURN_REPORT_H
 
-#include "core/burn.h"
-#include "core/burn_table.h"
+#include "core/reports/burn.h"
+#include "core/reports/burn_table.h"
 
 /** struct fq_burn_view_t - what is known when the report is made. */
 typedef struct
--- a/src/core/burn_series.c
+++ b/src/core/reports/burn_series.c
@@ -1,4 +1,4 @@
-#include "core/burn_series.h"
+#include "core/reports/burn_series.h"
 
 #include <string.h>
 
--- a/src/core/burn_table.c
+++ b/src/core/reports/burn_table.c
@@ -1,4 +1,4 @@
-#include "core/burn_table.h"
+#include "core/reports/burn_table.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/burn_table.h
+++ b/src/core/reports/burn_table.h
@@ -4,7 +4,7 @@
 #ifndef FQ_CORE_BURN_TABLE_H
 #define FQ_CORE_BURN_TABLE_H
 
-#include "core/burn_series.h"
+#include "core/reports/burn_series.h"
 #include "util/list.h"
 #include "util/map.h"
 
--- a/src/core/counters.c
+++ b/src/core/reports/counters.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/counters_private.h"
+#include "core/reports/counters_private.h"
 #include "util/text.h"
 
 #define FQ_RINGS_MAX 64     /* members with events */
--- a/src/core/counters_private.h
+++ b/src/core/reports/counters_private.h
@@ -4,7 +4,7 @@
 #ifndef FQ_CORE_COUNTERS_PRIVATE_H
 #define FQ_CORE_COUNTERS_PRIVATE_H
 
-#include "core/counters.h"
+#include "core/reports/counters.h"
 #include "util/histogram.h"
 #include "util/list.h"
 #include "util/map.h"
--- a/src/core/counters_text.c
+++ b/src/core/reports/counters_text.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/counters_private.h"
+#include "core/reports/counters_private.h"
 
 /* Upper ends of the buckets that are shown, in microseconds. */
 static const uint64_t bounds_us[]
--- a/src/core/poison.c
+++ b/src/core/retries/poison.c
@@ -1,4 +1,4 @@
-#include "core/poison.h"
+#include "core/retries/poison.h"
 
 #include <stdlib.h>
 
--- a/src/core/retry.c
+++ b/src/core/retries/retry.c
@@ -1,4 +1,4 @@
-#include "core/retry.h"
+#include "core/retries/retry.h"
 
 #include <stdlib.h>
 
--- a/src/core/connections.c
+++ b/src/core/routing/connections.c
@@ -1,4 +1,4 @@
-#include "core/connections.h"
+#include "core/routing/connections.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/connections.h
+++ b/src/core/routing/connections.h
@@ -10,7 +10,7 @@
 #ifndef FQ_CORE_CONNECTIONS_H
 #define FQ_CORE_CONNECTIONS_H
 
-#include "core/routing.h"
+#include "core/routing/routing.h"
 #include "filbertquay/effect.h"
 #include "filbertquay/event.h"
 
--- a/src/core/ejection.c
+++ b/src/core/routing/ejection.c
@@ -1,4 +1,4 @@
-#include "core/ejection.h"
+#include "core/routing/ejection.h"
 
 #define FQ_FAILURE_WEIGHT (1.0 / 8)
 #define FQ_FAILURE_SHARE_MAX 0.5
--- a/src/core/routing.c
+++ b/src/core/routing/routing.c
@@ -1,10 +1,10 @@
-#include "core/routing.h"
+#include "core/routing/routing.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/routing_table.h"
-#include "core/shed.h"
+#include "core/admission/shed.h"
+#include "core/routing/routing_table.h"
 #include "filbertquay/errors.h"
 
 #define FQ_LEVEL_SMOOTHING 0.3                    /* weight of one answer's shed level */
--- a/src/core/routing_table.c
+++ b/src/core/routing/routing_table.c
@@ -1,4 +1,4 @@
-#include "core/routing_table.h"
+#include "core/routing/routing_table.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/routing_table.h
+++ b/src/core/routing/routing_table.h
@@ -5,8 +5,8 @@
 #ifndef FQ_CORE_ROUTING_TABLE_H
 #define FQ_CORE_ROUTING_TABLE_H
 
-#include "core/ejection.h"
-#include "core/routing.h"
+#include "core/routing/ejection.h"
+#include "core/routing/routing.h"
 #include "util/map.h"
 
 #define FQ_NOT_READY SIZE_MAX
--- a/src/core/ticket.c
+++ b/src/core/tickets/ticket.c
@@ -1,11 +1,11 @@
-#include "core/ticket.h"
+#include "core/tickets/ticket.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "core/store_ids.h"
-#include "core/ticket_private.h"
+#include "core/tickets/ticket_private.h"
 #include "util/map.h"
 #include "util/text.h"
 
--- a/src/core/ticket_document.c
+++ b/src/core/tickets/ticket_document.c
@@ -1,4 +1,4 @@
-#include "core/ticket_document.h"
+#include "core/tickets/ticket_document.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/src/core/ticket_document.h
+++ b/src/core/tickets/ticket_document.h
@@ -11,7 +11,7 @@
 #ifndef FQ_CORE_TICKET_DOCUMENT_H
 #define FQ_CORE_TICKET_DOCUMENT_H
 
-#include "core/ticket_state.h"
+#include "core/tickets/ticket_state.h"
 
 #define FQ_TICKET_OBJECTS_MAX 60        /* objects in one ticket */
 #define FQ_TICKET_FAULTS_BYTES 2048     /* all faults of one ticket, with the NUL */
--- a/src/core/ticket_filing.c
+++ b/src/core/tickets/ticket_filing.c
@@ -11,7 +11,7 @@
 
 #include <xxhash.h>
 
-#include "core/ticket_private.h"
+#include "core/tickets/ticket_private.h"
 #include "util/text.h"
 
 #define FQ_FILING_TIMEOUT_US (10 * FQ_MICROSECONDS_PER_SECOND)
--- a/src/core/ticket_follow.c
+++ b/src/core/tickets/ticket_follow.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/ticket_private.h"
+#include "core/tickets/ticket_private.h"
 
 #define FQ_HEAD_READS_PER_SECOND 10.0
 #define FQ_HEAD_WAIT_LEAST_US 500000
--- a/src/core/ticket_private.h
+++ b/src/core/tickets/ticket_private.h
@@ -10,9 +10,9 @@
 #ifndef FQ_CORE_TICKET_PRIVATE_H
 #define FQ_CORE_TICKET_PRIVATE_H
 
-#include "core/ticket.h"
-#include "core/ticket_document.h"
-#include "core/ticket_state.h"
+#include "core/tickets/ticket.h"
+#include "core/tickets/ticket_document.h"
+#include "core/tickets/ticket_state.h"
 #include "util/list.h"
 #include "util/random.h"
 
--- a/src/core/ticket_state.c
+++ b/src/core/tickets/ticket_state.c
@@ -1,4 +1,4 @@
-#include "core/ticket_state.h"
+#include "core/tickets/ticket_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/core/ticket_state.h
+++ b/src/core/tickets/ticket_state.h
@@ -9,7 +9,7 @@
 
 #include <jansson.h>
 
-#include "core/ticket.h"
+#include "core/tickets/ticket.h"
 
 #define FQ_OBJECT_KEY_BYTES 192 /* "kind/member/name", with its NUL */
 
--- a/tests/core/fleet.h
+++ b/tests/core/fleet.h
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "util/random.h"
 #include "wire/codec.h"
 
--- a/tests/core/gate_fake.h
+++ b/tests/core/gate_fake.h
@@ -11,7 +11,7 @@
 #include <math.h>
 #include <stdlib.h>
 
-#include "core/admission.h"
+#include "core/admission/admission.h"
 
 #define MS FQ_MICROSECONDS_PER_MS
 #define SECOND FQ_MICROSECONDS_PER_SECOND
--- a/tests/core/test_burn.c
+++ b/tests/core/test_burn.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/burn.h"
+#include "core/reports/burn.h"
 #include "fake_store.h"
 
 #define NODES 5
--- a/tests/core/test_connections.c
+++ b/tests/core/test_connections.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/connections.h"
+#include "core/routing/connections.h"
 
 #define PER_SERVICE 16
 #define ENTRIES 200 /* nodes that use one service */
--- a/tests/core/test_counters.c
+++ b/tests/core/test_counters.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/counters_private.h"
+#include "core/reports/counters_private.h"
 
 static fq_counters_t *counters;
 
--- a/tests/core/test_once.c
+++ b/tests/core/test_once.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once.h"
+#include "core/once/once.h"
 #include "fake_store.h"
 #include "filbertquay/errors.h"
 #include "util/random.h"
--- a/tests/core/test_once_explore.c
+++ b/tests/core/test_once_explore.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once.h"
+#include "core/once/once.h"
 #include "fake_store.h"
 
 #define MS FQ_MICROSECONDS_PER_MS
--- a/tests/core/test_once_sweep.c
+++ b/tests/core/test_once_sweep.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/once.h"
+#include "core/once/once.h"
 #include "fake_store.h"
 
 #define SECOND_MS 1000LL
--- a/tests/core/test_poison.c
+++ b/tests/core/test_poison.c
@@ -8,7 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "core/poison.h"
+#include "core/retries/poison.h"
 #include "util/random.h"
 
 #define COUNT(array) (sizeof (array) / sizeof *(array))
--- a/tests/core/test_queue.c
+++ b/tests/core/test_queue.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/queue.h"
+#include "core/admission/queue.h"
 
 #define COUNT(array) (sizeof (array) / sizeof *(array))
 #define ENTRIES_MAX 8
--- a/tests/core/test_routing.c
+++ b/tests/core/test_routing.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/routing.h"
+#include "core/routing/routing.h"
 #include "util/map.h"
 
 #define COUNT(array) (sizeof (array) / sizeof *(array))
--- a/tests/core/test_shed.c
+++ b/tests/core/test_shed.c
@@ -4,7 +4,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "core/shed.h"
+#include "core/admission/shed.h"
 #include "util/random.h"
 
 #define INTERVAL_US (100 * FQ_MICROSECONDS_PER_MS)
--- a/tests/core/test_ticket.c
+++ b/tests/core/test_ticket.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/ticket.h"
+#include "core/tickets/ticket.h"
 #include "fake_store.h"
 #include "filbertquay/errors.h"
 #include "util/random.h"
