--- /dev/null
+++ b/tests/soak/clients.c
@@ -0,0 +1,152 @@
+/**
+ * DOC: What the soak asks of the nodes, and the configurations that it writes.
+ */
+#include "soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "filbertquay/errors.h"
+#include "util/base64.h"
+
+static void
+on_store_answered (void *context, fq_http_message_t *answer)
+{
+  (void)context;
+  if (answer->status != 200)
+    printf ("the store refused a configuration: %u\n", answer->status);
+}
+
+static void
+on_store_failed (void *context, fq_http_failure_t failure)
+{
+  (void)context;
+  printf ("the store did not take a configuration: %d\n", failure);
+}
+
+static const fq_http_call_handlers_t store_handlers
+    = { .answered = on_store_answered, .failed = on_store_failed };
+
+void
+soak_write_config (void)
+{
+  fq_http_message_t *request = fq_http_message_new ();
+  fq_http_call_options_t options = { .timeout_ms = 1000 };
+  fq_http_call_t *call;
+  fq_buffer_t text = { 0 };
+  fq_buffer_t body = { 0 };
+  char *value;
+
+  soak.config_version += 1 + fq_random_below (&soak.chance, 3);
+  fq_buffer_printf (
+      &text,
+      "{\"version\":%llu,\"services\":["
+      "{\"name\":\"front\",\"health_path\":\"/health\",\"max_connections\":99},"
+      "{\"name\":\"back\",\"health_path\":\"/health\",\"max_connections\":99}],"
+      "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":1048576,"
+      "\"header_timeout\":\"1s\",\"idle_timeout\":\"15s\"},\"virtual_hosts\":[{"
+      "\"host\":\"h\",\"paths\":[{\"name\":\"safe\",\"prefix\":\"/safe/\","
+      "\"route_type\":\"safe\",\"timeout\":\"%dms\",\"target_latency\":\"1s\","
+      "\"max_attempts\":3,\"priority\":1,\"service\":\"back\"},{\"name\":\"once\","
+      "\"prefix\":\"/once/\",\"route_type\":\"unsafe\",\"timeout\":\"%dms\","
+      "\"target_latency\":\"1s\",\"max_attempts\":3,\"priority\":0,"
+      "\"service\":\"back\"}]}]}",
+      (unsigned long long)soak.config_version, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS);
+  fq_buffer_add (&text, "", 1);
+  value = fq_base64_encode (fq_buffer_bytes (&text), fq_buffer_size (&text) - 1);
+  fq_buffer_printf (&body,
+                    "{\"precondition\":[],\"put\":[{\"table\":\"op\",\"part\":\"\","
+                    "\"key\":\"config\",\"value\":\"%s\"}],\"remove\":[]}",
+                    value);
+  strcpy (request->method, "POST");
+  request->target = strdup ("/v1/rows-tx");
+  fq_http_message_add (request, "Host", "store");
+  if (fq_blob_new (&request->body, fq_buffer_bytes (&body), fq_buffer_size (&body)) < 0
+      || fq_http_client_call (&call, soak.store_client, request, &options,
+                              &store_handlers, NULL)
+             < 0)
+    printf ("no configuration was sent: %s\n", fq_error_last ()->message);
+  fq_http_message_unref (request);
+  free (value);
+  fq_buffer_clear (&text);
+  fq_buffer_clear (&body);
+}
+
+static void
+on_answered (void *context, fq_http_message_t *answer)
+{
+  request_t *request = context;
+  size_t length = strlen (request->id);
+
+  request->status = answer->status;
+  if (answer->status != 200)
+    return;
+  if (fq_http_message_body_size (answer) != length
+      || memcmp (answer->body->data, request->id, length) != 0)
+    soak_violation ("%s got the answer of another request", request->id);
+}
+
+static void
+on_failed (void *context, fq_http_failure_t failure)
+{
+  request_t *request = context;
+
+  (void)failure;
+  request->status = 0;
+}
+
+static const fq_http_call_handlers_t request_handlers
+    = { .answered = on_answered, .failed = on_failed };
+
+static request_t *
+new_request (size_t machine, bool once)
+{
+  request_t *request = calloc (1, sizeof *request);
+
+  if (soak.request_count == soak.request_capacity)
+    {
+      soak.request_capacity
+          = soak.request_capacity == 0 ? 1024 : soak.request_capacity * 2;
+      soak.requests
+          = realloc (soak.requests, soak.request_capacity * sizeof *soak.requests);
+    }
+  if (request == NULL || soak.requests == NULL)
+    abort ();
+  request->machine = machine;
+  request->once = once;
+  request->judged = soak_elapsed () > soak.all_end - RECOVERY_SECONDS;
+  snprintf (request->id, sizeof request->id, "%s%zu", once ? "once" : "safe",
+            soak.request_count);
+  soak.requests[soak.request_count++] = request;
+  if (fq_map_set (&soak.by_id, fq_map_hash (request->id), request) < 0)
+    abort ();
+  return request;
+}
+
+/* Clients go on with the connections that they have until the process is gone. */
+void
+soak_on_send (struct ev_loop *running, ev_timer *timer, int events)
+{
+  size_t machine = fq_random_below (&soak.chance, soak.machine_count);
+  request_t *request = new_request (machine, fq_random_below (&soak.chance, 2) == 0);
+  fq_http_message_t *message = fq_http_message_new ();
+  fq_http_call_options_t options = { .timeout_ms = CLIENT_TIMEOUT_MS };
+  fq_http_call_t *call;
+  char target[TEXT_BYTES];
+
+  (void)events;
+  strcpy (message->method, request->once ? "POST" : "GET");
+  snprintf (target, sizeof target, "/%s/x", request->once ? "once" : "safe");
+  message->target = strdup (target);
+  fq_http_message_add (message, "Host", "h");
+  fq_http_message_add (message, "X-Attempt-Id", request->id);
+  fq_http_message_add (message, "X-Timeout-Ms", "3000");
+  if (fq_http_client_call (&call, soak.machines[machine].client, message, &options,
+                           &request_handlers, request)
+      < 0)
+    request->status = 0;
+  fq_http_message_unref (message);
+  if (soak_elapsed () > soak.all_end)
+    ev_timer_stop (running, timer);
+}
--- /dev/null
+++ b/tests/soak/processes.c
@@ -0,0 +1,223 @@
+/**
+ * DOC: The processes of the soak: nodes, servers, proxies and the store.
+ */
+#define _GNU_SOURCE
+#include "soak.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "util/text.h"
+
+void
+soak_address (char *out, size_t machine, port_t port)
+{
+  snprintf (out, FQ_ADDRESS_BYTES, "127.0.2.%zu:%d", machine + 1,
+            soak.base_port + (int)port);
+}
+
+/* @log: name of the file for its output; @takes_commands: keeps its standard input. */
+static process_t
+start_process (const char *log, bool takes_commands, char *const *argv)
+{
+  process_t process = { .input = -1 };
+  int commands[2] = { -1, -1 };
+  char path[TEXT_BYTES * 2];
+
+  snprintf (path, sizeof path, "%s/%s.log", soak.folder, log);
+  if (takes_commands && pipe2 (commands, O_CLOEXEC) < 0)
+    abort ();
+  fflush (stdout);
+  process.pid = fork ();
+  if (process.pid < 0)
+    abort ();
+  if (process.pid == 0)
+    {
+      int fd = open (path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+      if (fd < 0 || dup2 (fd, STDOUT_FILENO) < 0 || dup2 (fd, STDERR_FILENO) < 0
+          || (takes_commands && dup2 (commands[0], STDIN_FILENO) < 0))
+        _exit (127);
+      signal (SIGPIPE, SIG_DFL);
+      execv (argv[0], argv);
+      _exit (127);
+    }
+  if (takes_commands)
+    {
+      close (commands[0]);
+      process.input = commands[1];
+    }
+  return process;
+}
+
+void
+soak_end_process (process_t *process, int signal_number)
+{
+  if (process->pid == 0)
+    return;
+  kill (process->pid, SIGCONT);
+  kill (process->pid, signal_number);
+  waitpid (process->pid, NULL, 0);
+  if (process->input >= 0)
+    close (process->input);
+  *process = (process_t){ .input = -1 };
+}
+
+void
+soak_command (process_t *process, const char *text)
+{
+  if (process->input >= 0 && write (process->input, text, strlen (text)) < 0)
+    printf ("a proxy takes no command: %s\n", strerror (errno));
+}
+
+static char *
+program (char *out, const char *name)
+{
+  snprintf (out, TEXT_BYTES, "%s/%s", soak.build, name);
+  return out;
+}
+
+static const char *
+service_of (size_t machine)
+{
+  return machine < FRONTS ? "front" : "back";
+}
+
+void
+soak_start_node (size_t machine)
+{
+  char path[TEXT_BYTES];
+  char settings[TEXT_BYTES * 2];
+  char log[ID_BYTES];
+  char *argv[] = { program (path, "filbertquay-node"), settings, NULL };
+
+  snprintf (settings, sizeof settings, "%s/node%zu.json", soak.folder, machine);
+  snprintf (log, sizeof log, "node%zu", machine);
+  soak.machines[machine].node = start_process (log, false, argv);
+}
+
+void
+soak_start_server (size_t machine)
+{
+  char path[TEXT_BYTES];
+  char itself[FQ_ADDRESS_BYTES];
+  char reports[FQ_ADDRESS_BYTES];
+  char reported[FQ_ADDRESS_BYTES];
+  char id[ID_BYTES];
+  char log[ID_BYTES * 2];
+  char *argv[] = { program (path, "fq-standin-server"),
+                   itself,
+                   reports,
+                   (char *)service_of (machine),
+                   id,
+                   "20",
+                   reported,
+                   NULL };
+
+  soak_address (itself, machine, PORT_SERVER_ITSELF);
+  soak_address (reports, machine, PORT_REPORTS);
+  soak_address (reported, machine, PORT_SERVER);
+  snprintf (id, sizeof id, "i-%zu-%u", machine, ++soak.machines[machine].server_starts);
+  snprintf (log, sizeof log, "server-%s", id);
+  soak.machines[machine].server = start_process (log, false, argv);
+}
+
+static process_t
+start_proxy (const char *log, const char *listen, const char *target)
+{
+  char path[TEXT_BYTES];
+  char *argv[]
+      = { program (path, "fq-standin-proxy"), (char *)listen, (char *)target, NULL };
+
+  return start_process (log, true, argv);
+}
+
+static void
+write_settings (size_t machine)
+{
+  char path[TEXT_BYTES * 2];
+  char texts[PORT_STORE_ITSELF + 1][FQ_ADDRESS_BYTES];
+  char seed[FQ_ADDRESS_BYTES];
+  char store_address[FQ_ADDRESS_BYTES];
+  FILE *file;
+
+  for (int port = PORT_REQUESTS; port <= PORT_STORE_ITSELF; port++)
+    soak_address (texts[port], machine, (port_t)port);
+  soak_address (seed, machine == 0 ? 1 : 0, PORT_REPORTS);
+  soak_address (store_address, 0, PORT_STORE);
+  snprintf (path, sizeof path, "%s/node%zu.json", soak.folder, machine);
+  file = fopen (path, "w");
+  if (file == NULL)
+    abort ();
+  fprintf (file,
+           "{\"node\":\"n%zu\",\"zone\":\"z%zu\",\"ip\":\"127.0.2.%zu\",\"store\":\"%s\","
+           "\"seeds\":[\"%s\"],\"listen\":{\"requests\":\"%s\",\"readiness\":\"%s\","
+           "\"reports\":\"%s\",\"nodes\":\"%s\"},\"server\":{\"service\":\"%s\","
+           "\"address\":\"%s\",\"report_interval\":\"500ms\",\"drain\":\"%dms\"},"
+           "\"retries\":{\"ratio\":0.2,\"window\":\"10s\",\"slack\":40},"
+           "\"limits\":{\"memory_mb\":256,\"descriptors\":1024,\"grace\":\"6s\"}}\n",
+           machine, machine % 2, machine + 1, store_address, seed, texts[PORT_REQUESTS],
+           texts[PORT_READY], texts[PORT_REPORTS], texts[PORT_NODES],
+           service_of (machine), texts[PORT_SERVER], DRAIN_MS);
+  fclose (file);
+}
+
+static void
+open_client (fq_http_client_t **out, size_t machine, port_t port)
+{
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  struct sockaddr_in address;
+  char text[FQ_ADDRESS_BYTES];
+
+  soak_address (text, machine, port);
+  if (fq_address_parse (&address, text) < 0
+      || fq_http_client_new (out, &soak.io, &address, &options) < 0)
+    abort ();
+}
+
+void
+soak_start_all (void)
+{
+  char path[TEXT_BYTES];
+  char itself[FQ_ADDRESS_BYTES];
+  char proxied[FQ_ADDRESS_BYTES];
+  char *argv[] = { program (path, "fq-standin-store"), itself, NULL };
+
+  soak_address (itself, 0, PORT_STORE_ITSELF);
+  soak_address (proxied, 0, PORT_STORE);
+  soak.store = start_process ("store", false, argv);
+  soak.store_proxy = start_proxy ("store-proxy", proxied, itself);
+  for (size_t i = 0; i < soak.machine_count; i++)
+    {
+      char log[ID_BYTES];
+
+      snprintf (log, sizeof log, "proxy%zu", i);
+      soak_address (itself, i, PORT_SERVER_ITSELF);
+      soak_address (proxied, i, PORT_SERVER);
+      soak.machines[i].proxy = start_proxy (log, proxied, itself);
+      write_settings (i);
+      soak_start_node (i);
+      soak_start_server (i);
+      open_client (&soak.machines[i].client, i, PORT_REQUESTS);
+    }
+  open_client (&soak.store_client, 0, PORT_STORE_ITSELF);
+}
+
+void
+soak_end_all (void)
+{
+  for (size_t i = 0; i < soak.machine_count; i++)
+    {
+      soak_end_process (&soak.machines[i].node, SIGKILL);
+      soak_end_process (&soak.machines[i].server, SIGKILL);
+      soak_end_process (&soak.machines[i].proxy, SIGKILL);
+    }
+  soak_end_process (&soak.store, SIGKILL);
+  soak_end_process (&soak.store_proxy, SIGKILL);
+}
