Split the HTTP server's reading and the frames of peers into files of their own

Change: peer_frames.c takes what comes in and answers it, peers.c keeps the connections; http_request.c reads and checks a head.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "net/http_request.h"
 #include "util/map.h"
 #include "util/text.h"
 
@@ -241,152 +242,6 @@
   fq_blob_unref (reply.body);
 }
 
-static const struct
-{
-  enum lws_token_indexes token;
-  const char *method;
-  bool has_body;
-} methods[] = {
-  { WSI_TOKEN_GET_URI, "GET", false },    { WSI_TOKEN_HEAD_URI, "HEAD", false },
-  { WSI_TOKEN_POST_URI, "POST", true },   { WSI_TOKEN_PUT_URI, "PUT", true },
-  { WSI_TOKEN_PATCH_URI, "PATCH", true }, { WSI_TOKEN_DELETE_URI, "DELETE", false },
-};
-
-static bool
-must_encode (char c)
-{
-  return c <= ' ' || c >= 0x7f || strchr ("\"<>\\^`{|}%?#", c) != NULL;
-}
-
-/* @also: more characters to encode, that are data where @from stands. */
-static bool
-encode (char *to, size_t size, const char *from, const char *also)
-{
-  size_t used = 0;
-
-  for (; *from != '\0'; from++)
-    {
-      if (used + 4 > size)
-        return false;
-      if (must_encode (*from) || strchr (also, *from) != NULL)
-        used += (size_t)snprintf (to + used, size - used, "%%%02X", (unsigned char)*from);
-      else
-        to[used++] = *from;
-    }
-  to[used] = '\0';
-  return true;
-}
-
-static bool
-append_query (struct lws *wsi, char *path, size_t size)
-{
-  char argument[FQ_PATH_BYTES];
-  char separator = '?';
-
-  for (int i = 0;; i++)
-    {
-      int length = lws_hdr_copy_fragment (wsi, argument, sizeof argument,
-                                          WSI_TOKEN_HTTP_URI_ARGS, i);
-      size_t used = strlen (path);
-
-      if (length < 0)
-        return lws_hdr_fragment_length (wsi, WSI_TOKEN_HTTP_URI_ARGS, i) <= 0;
-      if (used + 2 >= size)
-        return false;
-      path[used] = separator;
-      if (!encode (path + used + 1, size - used - 1, argument, "&+"))
-        return false;
-      separator = '&';
-    }
-}
-
-/* libwebsockets decodes an encoded line end in the path and takes it for the end of the
- * request line: what is left has no version. */
-static bool
-has_version (struct lws *wsi)
-{
-  char version[FQ_METHOD_BYTES];
-
-  return lws_hdr_copy (wsi, version, sizeof version, WSI_TOKEN_HTTP) > 0
-         && strncmp (version, "HTTP/1.", strlen ("HTTP/1.")) == 0;
-}
-
-static bool
-read_method_and_path (fq_http_connection_t *connection, bool *has_body)
-{
-  fq_http_inbound_t *request = &connection->request;
-  char raw[FQ_PATH_BYTES];
-
-  for (size_t i = 0; i < sizeof methods / sizeof methods[0]; i++)
-    {
-      if (lws_hdr_total_length (connection->wsi, methods[i].token) <= 0)
-        continue;
-      fq_text_copy (request->method, sizeof request->method, methods[i].method);
-      *has_body = methods[i].has_body;
-      if (lws_hdr_copy (connection->wsi, raw, sizeof raw, methods[i].token) < 0)
-        return false;
-      return encode (request->path, sizeof request->path, raw, "")
-             && append_query (connection->wsi, request->path, sizeof request->path);
-    }
-  return false;
-}
-
-static bool
-read_custom (struct lws *wsi, const char *name, char *to, size_t size)
-{
-  int name_length = (int)strlen (name);
-  int length = lws_hdr_custom_length (wsi, name, name_length);
-
-  to[0] = '\0';
-  if (length < 0)
-    return true;
-  return lws_hdr_custom_copy (wsi, to, (int)size, name, name_length) >= 0;
-}
-
-/* Fields that must not come twice: two of them would let two readers disagree. */
-static bool
-has_doubled_field (struct lws *wsi)
-{
-  static const enum lws_token_indexes single[]
-      = { WSI_TOKEN_HTTP_AUTHORIZATION, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-          WSI_TOKEN_HTTP_CONTENT_TYPE, WSI_TOKEN_HTTP_TRANSFER_ENCODING, WSI_TOKEN_HOST };
-
-  for (size_t i = 0; i < sizeof single / sizeof single[0]; i++)
-    {
-      if (lws_hdr_fragment_length (wsi, single[i], 1) > 0)
-        return true;
-    }
-  return false;
-}
-
-static bool
-read_known (struct lws *wsi, enum lws_token_indexes token, char *to, size_t size)
-{
-  to[0] = '\0';
-  if (lws_hdr_total_length (wsi, token) <= 0)
-    return true;
-  return lws_hdr_copy (wsi, to, (int)size, token) >= 0;
-}
-
-static bool
-read_headers (fq_http_connection_t *connection)
-{
-  fq_http_inbound_t *request = &connection->request;
-  struct lws *wsi = connection->wsi;
-
-  return read_known (wsi, WSI_TOKEN_HTTP_AUTHORIZATION, request->authorization,
-                     sizeof request->authorization)
-         && read_known (wsi, WSI_TOKEN_HTTP_CONTENT_TYPE, request->content_type,
-                        sizeof request->content_type)
-         && read_custom (wsi, "fq-service:", request->service, sizeof request->service)
-         && read_custom (wsi, "idempotency-key:", request->key, sizeof request->key)
-         && read_custom (wsi, "fq-chain:", request->chain, sizeof request->chain)
-         && read_custom (wsi, "traceparent:", request->traceparent,
-                         sizeof request->traceparent)
-         && read_custom (wsi, "fq-deadline-ms:", request->deadline_ms,
-                         sizeof request->deadline_ms);
-}
-
 static void
 hand_over (fq_http_connection_t *connection)
 {
@@ -412,49 +267,6 @@
   server->options.on_request (server->options.user, request);
 }
 
-static bool
-has_field (struct lws *wsi, enum lws_token_indexes token)
-{
-  return lws_hdr_fragment_length (wsi, token, 0) > 0;
-}
-
-/* A missing length is 0. */
-static bool
-parse_length (struct lws *wsi, size_t *out)
-{
-  char text[FQ_METHOD_BYTES];
-  char *end = NULL;
-
-  *out = 0;
-  if (!has_field (wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH))
-    return true;
-  if (lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0
-      || text[0] < '0' || text[0] > '9')
-    return false;
-  errno = 0;
-  *out = strtoull (text, &end, 10);
-  return errno == 0 && *end == '\0';
-}
-
-/* Why the framing of a request is refused, or 0. */
-static uint16_t
-check_framing (fq_http_connection_t *connection, bool has_body, const char **why)
-{
-  struct lws *wsi = connection->wsi;
-  bool has_length = has_field (wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  bool has_encoding = has_field (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
-
-  *why = "a malformed or doubled header field";
-  if (has_doubled_field (wsi) || (has_length && has_encoding)
-      || !parse_length (wsi, &connection->expected))
-    return 400;
-  *why = "a content-length is needed";
-  if (has_encoding || (has_body && !has_length))
-    return 411;
-  *why = "the body is too large";
-  return connection->expected > connection->server->options.body_limit ? 413 : 0;
-}
-
 static void
 limit_body_time (fq_http_connection_t *connection)
 {
@@ -468,7 +280,6 @@
 static void
 begin_request (fq_http_connection_t *connection)
 {
-  bool has_body = false;
   const char *why;
   uint16_t status;
 
@@ -479,22 +290,13 @@
       reject (connection, 503, "the node is stopping");
       return;
     }
-  if (!has_version (connection->wsi))
-    {
-      reject (connection, 400, "a malformed request line");
-      return;
-    }
-  if (!read_method_and_path (connection, &has_body))
+  status = fq_http_request_read (connection->wsi, &connection->request,
+                                 &connection->expected, &why);
+  if (status == 0 && connection->expected > connection->server->options.body_limit)
     {
-      reject (connection, 414, "bad or long path, or unknown method");
-      return;
-    }
-  if (!read_headers (connection))
-    {
-      reject (connection, 431, "a header field is too long");
-      return;
+      status = 413;
+      why = "the body is too large";
     }
-  status = check_framing (connection, has_body, &why);
   if (status != 0)
     {
       reject (connection, status, why);
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -1,6 +1,6 @@
 /**
  * DOC: The nodes that this one talks to: which connections there are, and what the core's
- * effects and their frames mean to each other.
+ * effects send on them. What comes in is taken by peer_frames.c.
  *
  * Attempts go out on our own connection to a node and their answers come back on it.
  * Attempts of that node come in on its connection to us.
@@ -10,9 +10,7 @@
 #include <string.h>
 
 #include "net/log.h"
-#include "net/peer_connection.h"
-#include "net/shell.h"
-#include "util/random.h"
+#include "net/peers_private.h"
 #include "util/text.h"
 #include "wire/codec.h"
 
@@ -21,66 +19,16 @@
 #define FQ_PEER_RETRY_SHIFT_MAX 5
 #define FQ_PEER_REOPEN_US 100000
 #define FQ_PEER_VISIT_US 10000000
-#define FQ_PEER_RETRY_AFTER_MS 1000
 #define FQ_PEER_READ_BYTES 65536
-#define FQ_PEER_QUEUED_BYTES_MAX (32u << 20)  /* on one connection, for more bodies */
 #define FQ_PEER_QUEUED_SMALL_MAX (320u << 20) /* for calls that fit one frame */
 #define FQ_PEER_GUESTS_MAX 256                /* connections without a proof yet */
 #define FQ_PEER_LOG_US 1000000                /* refusals are logged at most this often */
-#define FQ_PEER_REQUESTS_PERCENT 75           /* of the memory for bodies */
-#define FQ_PEER_ANSWERS_PERCENT 100
-
-/* A node that we open connections to. */
-typedef struct
-{
-  char node[FQ_NAME_BYTES];
-  char address[FQ_ADDRESS_BYTES];
-  fq_peer_connection_t *connection;
-  fq_time_t retry_at;
-  unsigned int failures; /* in a row */
-  bool wanted;
-  fq_time_t visit_until; /* connected for a moment only, to ask for tickets */
-  bool ask_tickets;
-  uint64_t ask_number;
-} fq_peer_t;
-
-/* A call or an answer whose body is still coming. */
-typedef struct
-{
-  bool of_answer;
-  fq_id_t attempt;
-  fq_time_t announced;
-  fq_request_t *request;
-  fq_answer_t answer;
-} fq_pending_t;
-
-struct fq_peers
-{
-  fq_shell_t *shell;
-  fq_peer_owner_t owner;
-  struct lws_protocols protocols[2];
-  struct lws_vhost *vhost;
-  fq_map_t peers;        /* by node name */
-  fq_map_t incoming;     /* proven connections by node name */
-  fq_list_t connections; /* all */
-  size_t guests;
-  fq_random_t random;
-  fq_peer_counts_t counts;
-  bool refusing;
-  fq_time_t logged;
-};
-
-static fq_time_t
-now_us (void)
-{
-  return lws_now_usecs ();
-}
 
 static void
 log_refusal (fq_peers_t *peers, const char *what, uint64_t count)
 {
   char text[FQ_LOG_TEXT_BYTES];
-  fq_time_t now = now_us ();
+  fq_time_t now = lws_now_usecs ();
 
   if (peers->logged != 0 && now - peers->logged < FQ_PEER_LOG_US)
     return;
@@ -98,350 +46,6 @@
   fq_shell_feed (peers->shell, &event);
 }
 
-static fq_answer_t
-refusal (fq_cause_t cause, fq_outcome_t outcome)
-{
-  return (fq_answer_t){
-    .outcome = outcome,
-    .cause = cause,
-    .status = outcome == FQ_OUTCOME_NOT_RUN ? 503 : 502,
-    .retry_after_ms = FQ_PEER_RETRY_AFTER_MS,
-    .load = { .shed_class = FQ_CLASS_COUNT },
-  };
-}
-
-static void
-feed_answer (fq_peers_t *peers,
-             const char *node,
-             fq_id_t attempt,
-             const fq_answer_t *answer)
-{
-  fq_event_t event = { .kind = FQ_EVENT_PEER_ANSWER };
-
-  fq_text_copy (event.peer_answer.node, FQ_NAME_BYTES, node);
-  event.peer_answer.attempt = attempt;
-  event.peer_answer.answer = *answer;
-  fq_shell_feed (peers->shell, &event);
-}
-
-static void
-drop_pending (void *user)
-{
-  fq_pending_t *pending = user;
-
-  fq_request_unref (pending->request);
-  free (pending);
-}
-
-static void
-feed_call (fq_peers_t *peers, const char *node, fq_id_t attempt, fq_request_t *request)
-{
-  fq_event_t event = { .kind = FQ_EVENT_PEER_CALL };
-
-  fq_text_copy (event.peer_call.node, FQ_NAME_BYTES, node);
-  event.peer_call.attempt = attempt;
-  event.peer_call.request = request;
-  fq_shell_feed (peers->shell, &event);
-}
-
-static void
-send_answer (fq_peers_t *peers,
-             fq_peer_connection_t *connection,
-             fq_id_t attempt,
-             const fq_answer_t *answer)
-{
-  fq_answer_t unsent = refusal (FQ_CAUSE_OVERLOAD, FQ_OUTCOME_UNKNOWN);
-  fq_blob_t *following;
-  uint8_t *data;
-  size_t size;
-
-  /* An asker that reads too slowly gets the end of its attempt, without the body. */
-  if (fq_peer_connection_queued (connection) > FQ_PEER_QUEUED_BYTES_MAX)
-    {
-      peers->counts.answers_without_body++;
-      answer = &unsent;
-    }
-  if (fq_frame_of_answer (&data, &size, attempt, answer) < 0)
-    {
-      answer = &unsent;
-      if (fq_frame_of_answer (&data, &size, attempt, answer) < 0)
-        goto fail;
-    }
-  following = answer->body != NULL && answer->body->size > FQ_FRAME_BODY_BYTES
-                  ? answer->body
-                  : NULL;
-  if (fq_peer_connection_send_answer (connection, data, size, attempt, following) < 0)
-    goto fail;
-  return;
-
-fail:
-  /* The asker learns from the end of the connection that no answer will come. */
-  lws_set_timeout (connection->wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
-}
-
-static void
-refuse_call (fq_peers_t *peers,
-             fq_peer_connection_t *connection,
-             fq_id_t attempt,
-             const fq_request_t *request,
-             fq_cause_t cause)
-{
-  fq_answer_t answer = refusal (cause, FQ_OUTCOME_NOT_RUN);
-
-  answer.allowance = request->allowance;
-  peers->counts.calls_refused++;
-  send_answer (peers, connection, attempt, &answer);
-}
-
-static int
-expect_body (fq_peer_connection_t *connection,
-             const fq_pending_t *what,
-             uint64_t size,
-             unsigned int percent)
-{
-  fq_pending_t *pending = malloc (sizeof *pending);
-  int rc;
-
-  if (pending == NULL)
-    return FQ_ERROR_NOMEM;
-  *pending = *what;
-  rc = fq_body_expect (&connection->bodies, what->attempt, size, percent, pending);
-  if (rc < 0)
-    free (pending);
-  return rc;
-}
-
-static int
-take_call (fq_peers_t *peers,
-           fq_peer_connection_t *connection,
-           const Fq__Wire__Call *call)
-{
-  fq_pending_t pending = { .attempt = call->attempt, .announced = now_us () };
-  int rc;
-
-  if (!connection->incoming)
-    return FQ_ERROR_INVALID;
-  rc = fq_call_of_wire (&pending.request, call);
-  if (rc < 0)
-    return rc;
-  if (peers->refusing)
-    {
-      refuse_call (peers, connection, call->attempt, pending.request, FQ_CAUSE_DRAINING);
-      fq_request_unref (pending.request);
-      return FQ_OK;
-    }
-  if (!fq_body_follows (&call->body, call->body_size))
-    {
-      feed_call (peers, connection->node, call->attempt, pending.request);
-      fq_request_unref (pending.request);
-      return FQ_OK;
-    }
-  rc = expect_body (connection, &pending, call->body_size, FQ_PEER_REQUESTS_PERCENT);
-  if (rc == FQ_OK)
-    return FQ_OK;
-  if (rc != FQ_ERROR_CONFLICT)
-    {
-      refuse_call (peers, connection, call->attempt, pending.request, FQ_CAUSE_OVERLOAD);
-      rc = FQ_OK;
-    }
-  fq_request_unref (pending.request);
-  return rc;
-}
-
-static int
-take_answer (fq_peers_t *peers,
-             fq_peer_connection_t *connection,
-             const Fq__Wire__Answer *wire)
-{
-  fq_pending_t pending = { .of_answer = true, .attempt = wire->attempt };
-  fq_answer_t lost = refusal (FQ_CAUSE_OVERLOAD, FQ_OUTCOME_UNKNOWN);
-  int rc;
-
-  if (connection->incoming)
-    return FQ_ERROR_INVALID;
-  rc = fq_answer_of_wire (&pending.answer, wire);
-  if (rc < 0)
-    return rc;
-  /* Given up, or never asked of this node. */
-  if (fq_map_get (&connection->attempts, wire->attempt) == NULL)
-    goto done;
-  if (!fq_body_follows (&wire->body, wire->body_size))
-    {
-      fq_peer_connection_settle (connection, wire->attempt);
-      feed_answer (peers, connection->node, wire->attempt, &pending.answer);
-      goto done;
-    }
-  rc = expect_body (connection, &pending, wire->body_size, FQ_PEER_ANSWERS_PERCENT);
-  if (rc == FQ_OK || rc == FQ_ERROR_CONFLICT)
-    return rc;
-  rc = FQ_OK;
-  peers->counts.answers_without_body++;
-  fq_peer_connection_settle (connection, wire->attempt);
-  feed_answer (peers, connection->node, wire->attempt, &lost);
-
-done:
-  fq_blob_unref (pending.answer.body);
-  return rc;
-}
-
-/* The time that the body took is gone from what the request has left. */
-static void
-feed_late_call (fq_peers_t *peers,
-                fq_peer_connection_t *connection,
-                fq_pending_t *pending)
-{
-  fq_request_t *request = pending->request;
-  fq_time_t took_ms = (now_us () - pending->announced) / FQ_MICROSECONDS_PER_MS;
-
-  if (took_ms >= request->remaining_ms || peers->refusing)
-    {
-      refuse_call (peers, connection, pending->attempt, request,
-                   peers->refusing ? FQ_CAUSE_DRAINING : FQ_CAUSE_DEADLINE);
-      return;
-    }
-  request->remaining_ms -= (uint32_t)took_ms;
-  feed_call (peers, connection->node, pending->attempt, request);
-}
-
-static int
-take_data (fq_peers_t *peers,
-           fq_peer_connection_t *connection,
-           const Fq__Wire__Data *data)
-{
-  fq_pending_t *pending = NULL;
-  fq_blob_t *body;
-  int rc = fq_body_receive (&connection->bodies, data->attempt, data->bytes.data,
-                            data->bytes.len, &body, (void **)&pending);
-
-  if (rc < 0)
-    return rc;
-  fq_peer_connection_credit (connection);
-  if (body == NULL)
-    return FQ_OK;
-  if (pending->of_answer)
-    {
-      pending->answer.body = body;
-      if (fq_peer_connection_settle (connection, pending->attempt))
-        feed_answer (peers, connection->node, pending->attempt, &pending->answer);
-      fq_blob_unref (body);
-    }
-  else
-    {
-      pending->request->body = body;
-      feed_late_call (peers, connection, pending);
-    }
-  drop_pending (pending);
-  return FQ_OK;
-}
-
-static int
-take_cancel (fq_peers_t *peers,
-             fq_peer_connection_t *connection,
-             const Fq__Wire__Cancel *cancel)
-{
-  fq_event_t event = { .kind = FQ_EVENT_PEER_CANCEL };
-  fq_pending_t *pending = fq_body_forget (&connection->bodies, cancel->attempt);
-
-  if (!connection->incoming)
-    return FQ_ERROR_INVALID;
-  fq_body_withdraw (&connection->bodies, cancel->attempt);
-  if (pending != NULL)
-    {
-      drop_pending (pending);
-      return FQ_OK;
-    }
-  fq_text_copy (event.peer_cancel.node, FQ_NAME_BYTES, connection->node);
-  event.peer_cancel.attempt = cancel->attempt;
-  fq_shell_feed (peers->shell, &event);
-  return FQ_OK;
-}
-
-static int
-take_tickets (fq_peers_t *peers,
-              const fq_peer_connection_t *connection,
-              fq_tickets_kind_t kind,
-              uint64_t number,
-              char **documents,
-              size_t document_count)
-{
-  fq_event_t event = { .kind = FQ_EVENT_TICKETS };
-
-  fq_text_copy (event.tickets.node, FQ_NAME_BYTES, connection->node);
-  event.tickets.kind = kind;
-  event.tickets.number = number;
-  event.tickets.documents = documents;
-  event.tickets.document_count = document_count;
-  fq_shell_feed (peers->shell, &event);
-  return FQ_OK;
-}
-
-static int
-send_goodbye (fq_peer_connection_t *connection)
-{
-  Fq__Wire__Frame frame = FQ__WIRE__FRAME__INIT;
-  Fq__Wire__Goodbye goodbye = FQ__WIRE__GOODBYE__INIT;
-
-  frame.kind_case = FQ__WIRE__FRAME__KIND_GOODBYE;
-  frame.goodbye = &goodbye;
-  return fq_peer_connection_send (connection, &frame);
-}
-
-static int
-on_frame (void *user, fq_peer_connection_t *connection, const Fq__Wire__Frame *frame)
-{
-  fq_peers_t *peers = user;
-
-  switch (frame->kind_case)
-    {
-    case FQ__WIRE__FRAME__KIND_CALL:
-      return take_call (peers, connection, frame->call);
-    case FQ__WIRE__FRAME__KIND_ANSWER:
-      return take_answer (peers, connection, frame->answer);
-    case FQ__WIRE__FRAME__KIND_DATA:
-      return take_data (peers, connection, frame->data);
-    case FQ__WIRE__FRAME__KIND_CANCEL:
-      return take_cancel (peers, connection, frame->cancel);
-    case FQ__WIRE__FRAME__KIND_TICKETS_WANTED:
-      return take_tickets (peers, connection, FQ_TICKETS_WANTED,
-                           frame->tickets_wanted->number, NULL, 0);
-    case FQ__WIRE__FRAME__KIND_TICKETS_SENT:
-      return take_tickets (peers, connection, FQ_TICKETS_SENT,
-                           frame->tickets_sent->number, frame->tickets_sent->documents,
-                           frame->tickets_sent->n_documents);
-    case FQ__WIRE__FRAME__KIND_GOODBYE:
-      connection->leaving = true;
-      return connection->incoming ? FQ_OK : send_goodbye (connection);
-    default:
-      /* A kind of a later version. */
-      return FQ_OK;
-    }
-}
-
-static int
-send_tickets (fq_peer_connection_t *connection, const fq_tickets_effect_t *effect)
-{
-  Fq__Wire__Frame frame = FQ__WIRE__FRAME__INIT;
-  Fq__Wire__TicketsWanted wanted = FQ__WIRE__TICKETS_WANTED__INIT;
-  Fq__Wire__TicketsSent sent = FQ__WIRE__TICKETS_SENT__INIT;
-
-  switch (effect->kind)
-    {
-    case FQ_TICKETS_WANTED:
-      wanted.number = effect->number;
-      frame.kind_case = FQ__WIRE__FRAME__KIND_TICKETS_WANTED;
-      frame.tickets_wanted = &wanted;
-      break;
-    case FQ_TICKETS_SENT:
-      sent.number = effect->number;
-      sent.documents = effect->documents;
-      sent.n_documents = effect->document_count;
-      frame.kind_case = FQ__WIRE__FRAME__KIND_TICKETS_SENT;
-      frame.tickets_sent = &sent;
-      break;
-    }
-  return fq_peer_connection_send (connection, &frame);
-}
-
 static void
 replace_incoming (fq_peers_t *peers, fq_peer_connection_t *connection)
 {
@@ -464,7 +68,7 @@
       peers->guests--;
       replace_incoming (peers, connection);
       if (peers->refusing)
-        (void)send_goodbye (connection);
+        (void)fq_peers_send_goodbye (connection);
       return;
     }
   peer = fq_map_get (&peers->peers, fq_map_hash (connection->node));
@@ -478,7 +82,7 @@
           = { .kind = FQ_TICKETS_WANTED, .number = peer->ask_number };
 
       peer->ask_tickets = false;
-      (void)send_tickets (connection, &wanted);
+      (void)fq_peers_send_tickets (connection, &wanted);
     }
 }
 
@@ -489,10 +93,10 @@
                 uint32_t allowance)
 {
   fq_peers_t *peers = user;
-  fq_answer_t answer = refusal (FQ_CAUSE_CONNECTION_LOST, FQ_OUTCOME_NOT_RUN);
+  fq_answer_t answer = fq_peers_refusal (FQ_CAUSE_CONNECTION_LOST, FQ_OUTCOME_NOT_RUN);
 
   answer.allowance = allowance;
-  feed_answer (peers, connection->node, attempt, &answer);
+  fq_peers_feed_answer (peers, connection->node, attempt, &answer);
 }
 
 /* Grows with each failure in a row, and is spread so that nodes don't return as one. */
@@ -511,7 +115,7 @@
 static void
 plan_retry (fq_peers_t *peers, fq_peer_t *peer, bool was_ready, fq_peer_end_t why)
 {
-  fq_time_t now = now_us ();
+  fq_time_t now = lws_now_usecs ();
 
   if (was_ready && why == FQ_PEER_END_SILENT)
     peer->retry_at = now;
@@ -593,7 +197,7 @@
       log_refusal (peers, "Too many connections without a proof", ++peers->counts.denied);
       return -1;
     }
-  if (fq_peer_connection_adopt (&connection, &peers->owner, wsi, now_us ()) < 0)
+  if (fq_peer_connection_adopt (&connection, &peers->owner, wsi, lws_now_usecs ()) < 0)
     return -1;
   peers->guests++;
   fq_list_append (&peers->connections, &connection->link);
@@ -616,7 +220,7 @@
         return adopt (lws_get_protocol (wsi)->user, wsi);
       return reason == LWS_CALLBACK_RAW_RX ? -1 : 0;
     }
-  return fq_peer_connection_event (connection, wsi, reason, in, length, now_us ());
+  return fq_peer_connection_event (connection, wsi, reason, in, length, lws_now_usecs ());
 }
 
 static void
@@ -627,9 +231,9 @@
     .context = peers->shell->context,
     .keys = { { settings->cluster_key, settings->cluster_key_accepted } },
     .on_ready = on_ready,
-    .on_frame = on_frame,
+    .on_frame = fq_peers_on_frame,
     .on_not_written = on_not_written,
-    .on_body_dropped = drop_pending,
+    .on_body_dropped = fq_peers_drop_pending,
     .on_end = on_end,
     .user = peers,
   };
@@ -644,7 +248,7 @@
   if (peers == NULL)
     return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM, "no memory for nodes");
   peers->shell = shell;
-  peers->random.state = (uint64_t)now_us () ^ fq_map_hash (shell->settings->node);
+  peers->random.state = (uint64_t)lws_now_usecs () ^ fq_map_hash (shell->settings->node);
   fq_list_init (&peers->connections);
   set_owner (peers, shell->settings);
   peers->protocols[0] = (struct lws_protocols){
@@ -792,10 +396,10 @@
 static void
 feed_not_sent (fq_peers_t *peers, const fq_peer_call_effect_t *effect, fq_cause_t cause)
 {
-  fq_answer_t answer = refusal (cause, FQ_OUTCOME_NOT_RUN);
+  fq_answer_t answer = fq_peers_refusal (cause, FQ_OUTCOME_NOT_RUN);
 
   answer.allowance = effect->allowance;
-  feed_answer (peers, effect->node, effect->attempt, &answer);
+  fq_peers_feed_answer (peers, effect->node, effect->attempt, &answer);
 }
 
 void
@@ -817,7 +421,7 @@
           > (following != NULL ? FQ_PEER_QUEUED_BYTES_MAX : FQ_PEER_QUEUED_SMALL_MAX)
       || fq_frame_of_call (&data, &size, effect) < 0
       || fq_peer_connection_send_call (connection, data, size, effect->attempt,
-                                       effect->allowance, following, now_us ())
+                                       effect->allowance, following, lws_now_usecs ())
              < 0)
     feed_not_sent (peers, effect, FQ_CAUSE_OVERLOAD);
 }
@@ -834,7 +438,7 @@
     return;
   pending = fq_body_forget (&connection->bodies, effect->attempt);
   if (pending != NULL)
-    drop_pending (pending);
+    fq_peers_drop_pending (pending);
   cancel.attempt = effect->attempt;
   frame.kind_case = FQ__WIRE__FRAME__KIND_CANCEL;
   frame.cancel = &cancel;
@@ -849,7 +453,7 @@
 
   /* Without its connection the asker has judged the attempt already. */
   if (connection != NULL && !connection->ended)
-    send_answer (peers, connection, effect->attempt, &effect->answer);
+    fq_peers_send_answer (peers, connection, effect->attempt, &effect->answer);
 }
 
 static void
@@ -859,7 +463,7 @@
 
   if (peer == NULL)
     return;
-  peer->visit_until = now_us () + FQ_PEER_VISIT_US;
+  peer->visit_until = lws_now_usecs () + FQ_PEER_VISIT_US;
   peer->ask_tickets = true;
   peer->ask_number = effect->number;
 }
@@ -876,7 +480,7 @@
     visit (peers, effect);
   if (connection == NULL || connection->ended)
     return;
-  if (send_tickets (connection, effect) < 0)
+  if (fq_peers_send_tickets (connection, effect) < 0)
     fq_log_write (FQ_LOG_ERROR, "peers", "Tickets are too large for one frame.");
 }
 
@@ -889,7 +493,7 @@
     fq_peer_connection_t *connection = FQ_LIST_ENTRY (link, fq_peer_connection_t, link);
 
     if (connection->incoming && connection->ready)
-      (void)send_goodbye (connection);
+      (void)fq_peers_send_goodbye (connection);
   }
 }
 
--- a/src/net/shell.h
+++ b/src/net/shell.h
@@ -72,7 +72,7 @@
 void fq_upstream_start (fq_shell_t *shell, const fq_upstream_start_effect_t *effect);
 void fq_upstream_abort (fq_shell_t *shell, const fq_upstream_abort_effect_t *effect);
 
-/* peers.c */
+/* peers.c, peer_frames.c */
 int fq_peers_new (fq_peers_t **out, fq_shell_t *shell);
 void fq_peers_free (fq_peers_t *peers);
 void fq_peers_connect (fq_peers_t *peers, const fq_peer_connect_effect_t *effect);
