Ask the server before a new process believes its first report

Ruled out: asking other nodes what they remember (they may have missed it, and the drain's end counts from an acknowledgement that they did not see); a row in the store for each drain (priced, and the store may be away).

Conclusion: the drain is kept over a restart of the node also when reports are late.

--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -141,7 +141,8 @@
   fq_server_t server;
   uint64_t server_started_ms;
   uint64_t server_sequence;
-  bool probed; /* the server was asked for its instance, once after the start */
+  bool probed;    /* the server was asked how it is, and for its instance */
+  bool confirmed; /* that it is ready: by its answer, or by a second report */
   fq_time_t answered_at;
   fq_time_t drain_until;
   fq_timer_entry_t timer;
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -2,7 +2,8 @@
  * DOC: What the server beside the node says of itself, and what follows for its gate.
  *
  * A server that said that it leaves is never ready again under the same start, whatever
- * late reports say.
+ * late reports say. A node that started again has forgotten who left, and the first
+ * report that it gets may be a late one: it asks the server before it believes that.
  */
 #include <string.h>
 
@@ -128,6 +129,7 @@
 fq_server_state_report (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
+  bool is_first;
 
   if (is_stale (gate, report))
     {
@@ -137,6 +139,7 @@
                    (unsigned long long)gate->server_sequence);
       return;
     }
+  is_first = gate->server.instance[0] == '\0';
   if (!is_same_start (gate, report))
     take_start (mesh, report);
   gate->server_sequence = report->sequence;
@@ -150,7 +153,13 @@
       return;
     }
   arm_report_timer (mesh);
-  if (gate->server.phase != FQ_PHASE_READY)
+  if (is_first)
+    gate->probed = false;
+  else
+    gate->confirmed = true;
+  if (!gate->confirmed)
+    fq_server_state_look (mesh);
+  else if (gate->server.phase != FQ_PHASE_READY)
     enter_phase (mesh, FQ_PHASE_READY, "reported");
   fq_gate_progress (mesh);
 }
@@ -173,6 +182,17 @@
   return limit;
 }
 
+/* Before a report, the number of its slots has to be known from others. */
+static bool
+is_worth_asking (const fq_mesh_t *mesh)
+{
+  const fq_gate_t *gate = &mesh->gate;
+
+  if (gate->probed || gate->confirmed || gate->drain_until != 0 || mesh->config == NULL)
+    return false;
+  return gate->server.instance[0] != '\0' || limit_of_others (mesh) != 0;
+}
+
 /* A node that starts beside a server that runs need not wait for its next report. */
 void
 fq_server_state_look (fq_mesh_t *mesh)
@@ -180,8 +200,7 @@
   const fq_service_t *service;
   fq_mesh_effect_t *effect;
 
-  if (mesh->gate.probed || mesh->gate.server.instance[0] != '\0' || mesh->config == NULL
-      || limit_of_others (mesh) == 0)
+  if (!is_worth_asking (mesh))
     return;
   service = fq_config_service (mesh->config, mesh->service);
   if (service == NULL)
@@ -191,15 +210,34 @@
   fq_text_copy (effect->path, sizeof effect->path, service->probe_path);
 }
 
+/* The server that reported first answers as the same, and that it is well. */
+static void
+confirm (fq_mesh_t *mesh, const char *instance)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (gate->confirmed || gate->drain_until != 0
+      || strcmp (gate->server.instance, instance) != 0)
+    return;
+  gate->confirmed = true;
+  enter_phase (mesh, FQ_PHASE_READY, "confirmed");
+  fq_gate_progress (mesh);
+}
+
 void
 fq_server_state_probed (fq_mesh_t *mesh, const char *instance)
 {
   fq_gate_t *gate = &mesh->gate;
   uint32_t limit = limit_of_others (mesh);
 
-  /* A report that came meanwhile says more. */
-  if (gate->server.instance[0] != '\0' || limit == 0)
+  if (gate->server.instance[0] != '\0')
+    {
+      confirm (mesh, instance);
+      return;
+    }
+  if (limit == 0)
     return;
+  gate->confirmed = true;
   fq_text_copy (gate->server.instance, sizeof gate->server.instance, instance);
   memcpy (gate->server.service, mesh->service, sizeof gate->server.service);
   gate->waiting.limit = limit;
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -62,6 +62,9 @@
   bool down;
   bool silent;
   bool stopped;
+  bool probed;                      /* its server was asked and will answer */
+  char instance[FQ_INSTANCE_BYTES]; /* of its server */
+  bool draining;                    /* its server does, and says so when asked */
   unsigned int generation;
   uint64_t sequence;
 } fleet_node_t;
@@ -229,8 +232,10 @@
     case FQ_MESH_EFFECT_STOPPED:
       fleet->nodes[node].stopped = true;
       break;
-    case FQ_MESH_EFFECT_SERVER_FORGET:
     case FQ_MESH_EFFECT_SERVER_PROBE:
+      fleet->nodes[node].probed = true;
+      break;
+    case FQ_MESH_EFFECT_SERVER_FORGET:
     case FQ_MESH_EFFECT_LIMITS:
     case FQ_MESH_EFFECT_FIND_NODES:
     case FQ_MESH_EFFECT_FORGET_NODE:
@@ -240,6 +245,20 @@
     }
 }
 
+/* A server that drains says that it is not well, which the reducer is not told. */
+static inline void
+fleet_answer_probe (fleet_t *fleet, size_t node)
+{
+  fleet_node_t *at = &fleet->nodes[node];
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBED, .instance = at->instance };
+
+  if (!at->probed)
+    return;
+  at->probed = false;
+  if (!at->draining && at->instance[0] != '\0')
+    fleet_feed (fleet, node, &event);
+}
+
 static inline void
 fleet_feed (fleet_t *fleet, size_t node, fq_mesh_event_t *event)
 {
@@ -252,6 +271,7 @@
   for (size_t i = 0; i < effects.count; i++)
     fleet_carry_out (fleet, node, &effects.items[i]);
   fq_mesh_effects_free (&effects);
+  fleet_answer_probe (fleet, node);
 }
 
 static inline bool
@@ -369,6 +389,8 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REPORT };
 
+  strcpy (fleet->nodes[node].instance, instance);
+  fleet->nodes[node].draining = draining;
   strcpy (event.report.instance, instance);
   strcpy (event.report.service, node == 0 ? "front" : "back");
   event.report.started_ms = started;
@@ -435,6 +457,13 @@
   config->version = version;
   config->document = (uint8_t *)strdup ("document");
   config->document_size = strlen ("document");
+  config->service_count = 2;
+  config->services = calloc (config->service_count, sizeof *config->services);
+  for (size_t i = 0; i < config->service_count; i++)
+    {
+      strcpy (config->services[i].name, i == 0 ? "front" : "back");
+      config->services[i].probe_path = strdup ("/health");
+    }
   config->hosts = calloc (1, sizeof *config->hosts);
   config->host_count = 1;
   host = &config->hosts[0];
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -287,6 +287,48 @@
 }
 END_TEST
 
+/* A node that was started again has forgotten that its server leaves, and a report from
+ * before comes late. The next report, or the server's own word, would be believed. */
+START_TEST (test_late_report_to_a_new_process_is_not_believed)
+{
+  fq_mesh_event_t late = { .kind = FQ_MESH_EVENT_REPORT };
+
+  fleet_kill (&fleet, 2);
+  fleet_kill (&fleet, 3);
+  fleet_report (&fleet, 1, "i-1", 1000, true);
+  fleet_pass (&fleet, 2500);
+  fleet_kill (&fleet, 1);
+  fleet_start (&fleet, 1);
+  fleet_pass (&fleet, 300);
+  strcpy (late.report.instance, "i-1");
+  strcpy (late.report.service, "back");
+  late.report.started_ms = 1000;
+  late.report.sequence = 1;
+  late.report.slots = 10;
+  fleet_feed (&fleet, 1, &late);
+  fleet_pass (&fleet, 10);
+  fleet_ask (&fleet, 0, "/safe/1", "r1", "");
+  fleet_pass (&fleet, 100);
+  ck_assert_uint_eq (fleet.run_count, 0);
+}
+END_TEST
+
+/* The same node beside a server that stays: its first report is enough if it is well. */
+START_TEST (test_first_report_to_a_new_process_is_confirmed_by_the_server)
+{
+  fleet_kill (&fleet, 2);
+  fleet_kill (&fleet, 3);
+  fleet_kill (&fleet, 1);
+  fleet_start (&fleet, 1);
+  fleet_pass (&fleet, 300);
+  fleet_report (&fleet, 1, "i-1", 1000, false);
+  fleet_pass (&fleet, 10);
+  fleet_ask (&fleet, 0, "/safe/1", "r1", "");
+  fleet_pass (&fleet, 10);
+  ck_assert_uint_eq (fleet.run_count, 1);
+}
+END_TEST
+
 START_TEST (test_late_report_does_not_bring_back_an_older_state)
 {
   fq_mesh_event_t late = { .kind = FQ_MESH_EVENT_REPORT };
@@ -654,6 +696,8 @@
   tcase_add_test (tcase, test_leave_drains_and_an_old_leave_does_not);
   tcase_add_test (tcase, test_leave_of_an_unknown_server_is_kept);
   tcase_add_test (tcase, test_late_report_does_not_bring_back_an_older_state);
+  tcase_add_test (tcase, test_late_report_to_a_new_process_is_not_believed);
+  tcase_add_test (tcase, test_first_report_to_a_new_process_is_confirmed_by_the_server);
   tcase_add_test (tcase, test_client_that_leaves_stops_only_what_may_be_repeated);
   tcase_add_test (tcase, test_route_timeout_ends_the_wait);
   tcase_add_test (tcase, test_refused_requests_never_run);
