Tell at most 32 nodes in one greeting

Each of N nodes greets N others with up to N addresses.

Change: a random choice of 32 connected nodes. A newcomer greets each node it hears of and gets another choice from each.

--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -12,6 +12,8 @@
 #define FQ_RECONNECT_DOUBLINGS 4
 #define FQ_SILENCE_US (250 * FQ_MICROSECONDS_PER_MS) /* before a gate is pinged */
 #define FQ_PONG_US (650 * FQ_MICROSECONDS_PER_MS)    /* before it is held for dead */
+#define FQ_NODES_TOLD_MAX                                                                \
+  32 /* in one greeting; the sum over all grows with their square */
 #define FQ_FAILURES_MAX 600 /* connections in a row, after which a node is forgotten */
 
 fq_peer_t *
@@ -77,20 +79,32 @@
   return count;
 }
 
+/* All connected nodes, or a random choice of them: a newcomer gets one from each node
+ * that it greets, so that what one leaves out others tell. */
 void
 fq_peer_list (fq_mesh_t *mesh, fq_frame_t *frame)
 {
   size_t cursor = 0;
+  size_t seen = 0;
   const fq_peer_t *peer;
 
-  frame->nodes = calloc (mesh->peers.count, sizeof *frame->nodes);
+  frame->nodes = calloc (FQ_NODES_TOLD_MAX, sizeof *frame->nodes);
   if (frame->nodes == NULL)
     abort ();
   while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
     {
-      if (peer != mesh->self && peer->link == FQ_LINK_UP)
-        frame->nodes[frame->node_count++] = peer->address;
+      size_t place;
+
+      if (peer == mesh->self || peer->link != FQ_LINK_UP)
+        continue;
+      place = seen < FQ_NODES_TOLD_MAX
+                  ? seen
+                  : (size_t)fq_random_below (&mesh->random, (uint64_t)seen + 1);
+      seen++;
+      if (place < FQ_NODES_TOLD_MAX)
+        frame->nodes[place] = peer->address;
     }
+  frame->node_count = seen < FQ_NODES_TOLD_MAX ? seen : FQ_NODES_TOLD_MAX;
 }
 
 void
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -583,6 +583,53 @@
 }
 END_TEST
 
+#define MANY_NODES 200
+#define TOLD_MAX 32 /* nodes in one greeting */
+
+/* Greetings of many nodes stay small, and together they still tell of all that came in
+ * the first half; the last ones greet the others themselves. */
+START_TEST (test_greetings_stay_small_and_tell_of_all_nodes)
+{
+  fq_mesh_options_t options = FQ_MESH_OPTIONS_INIT;
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_LINK_UP };
+  bool told[MANY_NODES] = { false };
+  fq_mesh_t *mesh;
+
+  options.address = fleet_address (MANY_NODES);
+  options.zone = "z";
+  options.service = "back";
+  options.seed = 7;
+  ck_assert_int_eq (fq_mesh_new (&mesh, &options, fleet.now), 0);
+  for (size_t i = 0; i < MANY_NODES; i++)
+    {
+      fq_mesh_effects_t effects = { 0 };
+      fq_node_address_t address = fleet_address (i);
+      fq_mesh_event_t nodes = { .kind = FQ_MESH_EVENT_NODES };
+
+      nodes.now = event.now = fleet.now;
+      nodes.nodes.addresses = &address;
+      nodes.nodes.count = 1;
+      fq_mesh_reduce (mesh, &nodes, &effects);
+      event.node = address;
+      fq_mesh_reduce (mesh, &event, &effects);
+      for (size_t j = 0; j < effects.count; j++)
+        {
+          const fq_frame_t *frame = effects.items[j].frame.frame;
+
+          if (effects.items[j].kind != FQ_MESH_EFFECT_TO_GATE)
+            continue;
+          ck_assert_uint_le (frame->node_count, TOLD_MAX);
+          for (size_t k = 0; k < frame->node_count; k++)
+            told[fleet_node_of (frame->nodes[k])] = true;
+        }
+      fq_mesh_effects_free (&effects);
+    }
+  for (size_t i = 0; i < MANY_NODES / 2; i++)
+    ck_assert (told[i]);
+  fq_mesh_free (mesh);
+}
+END_TEST
+
 /* What the servers below do with the calls of running work, and whether the gate above
  * should take less new work for it. */
 static const struct
@@ -706,6 +753,7 @@
   tcase_add_test (tcase, test_stop_ends_before_the_process_is_killed);
   tcase_add_test (tcase, test_stop_takes_no_request_that_could_not_end);
   tcase_add_test (tcase, test_calls_of_running_work_are_known);
+  tcase_add_test (tcase, test_greetings_stay_small_and_tell_of_all_nodes);
   tcase_add_loop_test (tcase, test_only_calls_without_room_hold_back_new_work, 0,
                        sizeof calls_below / sizeof calls_below[0]);
   suite_add_tcase (suite, tcase);
