Ask one node for the configuration, not each one that is greeted

The log of a restart shows config-wanted for each greeting of a node that has none, and as many config-ignored: N nodes fetched up to N copies.

Change: while an answer or the store is waited for, no other node is asked; after 300 ms without one, the node that told the newest version last.

--- a/src/mesh/config_state.c
+++ b/src/mesh/config_state.c
@@ -52,9 +52,12 @@
     return;
   mesh->newest_seen = version;
   mesh->newest_at = node;
+  /* One node was asked, or the store has its time: all others tell the same. */
+  if (mesh->config_timer.position != 0)
+    return;
   if (mesh->config == NULL)
     fq_mesh_ask_for_config (mesh);
-  else if (mesh->config_timer.position == 0)
+  else
     fq_timers_arm (&mesh->timers, &mesh->config_timer, mesh->now + FQ_CONFIG_WAIT_US);
 }
 
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -583,6 +583,28 @@
 }
 END_TEST
 
+/* A node that starts without a configuration hears of it from each node that it greets,
+ * and asks one of them. */
+START_TEST (test_new_process_asks_one_node_for_the_configuration)
+{
+  fq_config_t *config = fleet.config;
+  size_t asked = 0;
+
+  fleet_kill (&fleet, 0);
+  fleet.config = NULL;
+  fleet_start (&fleet, 0);
+  fleet.config = config;
+  for (int ms = 0; ms < 250; ms++)
+    {
+      fleet_pass (&fleet, 1);
+      for (size_t i = 0; i < fleet.mail_count; i++)
+        asked += fleet.mail[i].frame.kind == FQ_FRAME_CONFIG_WANTED
+                 && fleet.mail[i].due > fleet.now;
+    }
+  ck_assert_uint_eq (asked, 1);
+}
+END_TEST
+
 #define MANY_NODES 200
 #define TOLD_MAX 32 /* nodes in one greeting */
 
@@ -753,6 +775,7 @@
   tcase_add_test (tcase, test_stop_ends_before_the_process_is_killed);
   tcase_add_test (tcase, test_stop_takes_no_request_that_could_not_end);
   tcase_add_test (tcase, test_calls_of_running_work_are_known);
+  tcase_add_test (tcase, test_new_process_asks_one_node_for_the_configuration);
   tcase_add_test (tcase, test_greetings_stay_small_and_tell_of_all_nodes);
   tcase_add_loop_test (tcase, test_only_calls_without_room_hold_back_new_work, 0,
                        sizeof calls_below / sizeof calls_below[0]);
