--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -583,4 +583,41 @@
   return NULL;
 }
 
+/** fleet_run_under_way() - the run of a request that has not ended, or NULL. */
+static inline fleet_run_t *
+fleet_run_under_way (fleet_t *fleet, const char *request_id)
+{
+  for (size_t i = 0; i < fleet->run_count; i++)
+    {
+      if (!fleet->runs[i].ended && strcmp (fleet->runs[i].request_id, request_id) == 0)
+        return &fleet->runs[i];
+    }
+  return NULL;
+}
+
+/** fleet_offer() - the entry at node 0 offers a request to the gate of @node that it may
+ * run at once. */
+static inline void
+fleet_offer (fleet_t *fleet, size_t node, const char *request_id, bool repeat)
+{
+  static fq_id_t attempt = 1000000;
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ASKER_FRAME };
+  fq_frame_t frame = { .kind = FQ_FRAME_OFFER, .attempt = ++attempt };
+
+  strcpy (frame.offer.service, "back");
+  strcpy (frame.offer.request_id, request_id);
+  frame.offer.rank = 6;
+  frame.offer.route = 1;
+  frame.offer.chain = attempt;
+  frame.offer.remaining_ms = 1000;
+  frame.offer.idempotent = true;
+  frame.offer.repeat = repeat;
+  frame.offer.fingerprint = attempt;
+  frame.message = fq_http_message_new ();
+  event.frame.frame = &frame;
+  event.frame.asker = fleet_asker (fleet, 0);
+  fleet_feed (fleet, node, &event);
+  fq_http_message_unref (frame.message);
+}
+
 #endif
