--- a/models/drain_kept.pml
+++ b/models/drain_kept.pml
@@ -3,8 +3,11 @@
  *
  * A server reports that it is ready, then that it drains; it sends the next report when the
  * one before has ended. A report may be delivered once more, later, also to a node that
- * started after it. Its health check says no as soon as it drains. The node acknowledges the drain,
- * and may end and start again at any time, which empties its memory.
+ * started after it. Its health check says no as soon as it drains. The node acknowledges the
+ * drain, and may end and start again at any time, which empties its memory.
+ *
+ * One report says ready. A second late one with another number would be believed, which is
+ * how a server is taken back whose health check is wrong.
  *
  * Checked: once a drain was acknowledged and is over, no request is started at the server.
  *
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -148,7 +148,7 @@
       offer_to (mesh, exchange, peer);
       return;
     }
-  /* Where no server is, there is none to be relieved. */
+  /* No gate of the service is known: less load would not help. */
   if (exchange->offers == 0)
     exchange->lost_otherwise = true;
   fq_exchange_give_up (mesh, exchange, cause_if_none);
@@ -325,12 +325,13 @@
     exchange->retry_after_ms = ms;
 }
 
-/* A server with room that refuses would do so at a lower load too. */
+/* A server that refuses while nothing waits at its gate would refuse as much at a lower
+ * load. */
 static void
 judge_refusal (fq_exchange_t *exchange, const fq_frame_t *refusal)
 {
   if (refusal->cause == FQ_REFUSAL_RETRY_BUDGET)
-    return; /* what ended the attempt before it holds */
+    return; /* the refusal before it tells why the call failed */
   exchange->lost_otherwise
       = refusal->cause == FQ_REFUSAL_SERVER_SAID && refusal->room.queued == 0;
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -125,7 +125,7 @@
   fq_offer_t offer;
   fq_http_message_t *message; /* NULL until it is handed over */
   fq_run_stage_t stage;
-  bool starved;        /* a call that the server made for it failed */
+  bool starved;        /* a call that the server made for it found no room or time */
   bool lost_otherwise; /* a call of it failed, but not for lack of room */
   fq_time_t arrived;
   fq_time_t deadline;
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -12,8 +12,7 @@
 #define FQ_RECONNECT_DOUBLINGS 4
 #define FQ_SILENCE_US (250 * FQ_MICROSECONDS_PER_MS) /* before a gate is pinged */
 #define FQ_PONG_US (650 * FQ_MICROSECONDS_PER_MS)    /* before it is held for dead */
-#define FQ_NODES_TOLD_MAX                                                                \
-  32 /* in one greeting; the sum over all grows with their square */
+#define FQ_NODES_TOLD_MAX 32                         /* in one greeting */
 #define FQ_FAILURES_MAX 600 /* connections in a row, after which a node is forgotten */
 
 fq_peer_t *
@@ -79,8 +78,9 @@
   return count;
 }
 
-/* All connected nodes, or a random choice of them: a newcomer gets one from each node
- * that it greets, so that what one leaves out others tell. */
+/* All connected nodes, or a random choice of them. Each node greets each other one, so
+ * that whole lists would cost bytes with the cube of their number; a newcomer gets
+ * another choice from each node that it greets. */
 void
 fq_peer_list (fq_mesh_t *mesh, fq_frame_t *frame)
 {
