Wait for a killed node to end before its test starts it again

Its log says 'can't listen on port 27204: Address already in use': the process before had been sent SIGKILL, but had not ended, and still had the port.

Ruled out: the node: it said what was wrong and ended.

Change: restart_node waits for the process before. No check or bound changes; the test passes, as do the two others that were run with that file.

--- a/tests/process/node_lib.sh
+++ b/tests/process/node_lib.sh
@@ -65,8 +65,10 @@
     "$(ip "$1"):$reports_port" "$2" "i-$1" "$3"
 }
 
+# The process before was told to end; its ports are free only when it has.
 restart_node () # NUMBER
 {
+  wait "$(pid_of "m$1")" 2>/dev/null || true
   start "m$1" "$build/filbertquay-node" "$work/m$1.json"
 }
 
