Send signals of the soak through one function that refuses an ended process

Cause: soak_check_node() sets the pid of a node that ended by itself to 0, and begin_fault() then signals that pid.

Change: soak_signal() sends all signals of the soak and does nothing for a process that is not running.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -65,8 +65,7 @@
       soak_start_node (fault->machine);
       break;
     case FAULT_NODE_PAUSE:
-      if (machine->node.pid != 0)
-        kill (machine->node.pid, SIGCONT);
+      soak_signal (&machine->node, SIGCONT);
       machine->node_paused = false;
       soak_disturb (fault->machine);
       break;
@@ -83,8 +82,7 @@
       soak_start_server (fault->machine);
       break;
     case FAULT_SERVER_PAUSE:
-      if (machine->server.pid != 0)
-        kill (machine->server.pid, SIGCONT);
+      soak_signal (&machine->server, SIGCONT);
       break;
     case FAULT_PROXY_DELAY:
     case FAULT_PROXY_RESET:
@@ -93,7 +91,7 @@
       soak_send_command (&machine->proxy, "pass\n");
       break;
     case FAULT_STORE_REFUSES:
-      kill (soak.store.pid, SIGUSR1);
+      soak_signal (&soak.store, SIGUSR1);
       break;
     case FAULT_STORE_SILENT:
       soak_send_command (&soak.store_proxy, "pass\n");
@@ -171,26 +169,26 @@
       soak_end_process (&target->node, SIGKILL);
       break;
     case FAULT_NODE_STOP:
-      kill (target->node.pid, SIGTERM);
+      soak_signal (&target->node, SIGTERM);
       break;
     case FAULT_NODE_PAUSE:
-      kill (target->node.pid, SIGSTOP);
+      soak_signal (&target->node, SIGSTOP);
       target->node_paused = true;
       break;
     case FAULT_NODE_HANGUP:
       /* Until a new process has reached its main function, the signal kills it. */
       if (!soak_was_disturbed (machine, soak_monotonic_ms () - NODE_START_MS,
                                soak_monotonic_ms ()))
-        kill (target->node.pid, SIGHUP);
+        soak_signal (&target->node, SIGHUP);
       break;
     case FAULT_SERVER_KILL:
       soak_end_process (&target->server, SIGKILL);
       break;
     case FAULT_SERVER_DRAIN:
-      kill (target->server.pid, SIGTERM);
+      soak_signal (&target->server, SIGTERM);
       break;
     case FAULT_SERVER_PAUSE:
-      kill (target->server.pid, SIGSTOP);
+      soak_signal (&target->server, SIGSTOP);
       break;
     case FAULT_SERVER_LIMIT:
       snprintf (text, sizeof text, "/control/Server-Limit=%.1f",
@@ -218,7 +216,7 @@
       soak_send_command (&target->proxy, "oneway\n");
       break;
     case FAULT_STORE_REFUSES:
-      kill (soak.store.pid, SIGUSR1);
+      soak_signal (&soak.store, SIGUSR1);
       break;
     case FAULT_STORE_SILENT:
       soak_send_command (&soak.store_proxy, "silence\n");
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -64,8 +64,8 @@
 {
   if (process->pid == 0)
     return;
-  kill (process->pid, SIGCONT);
-  kill (process->pid, signal_number);
+  soak_signal (process, SIGCONT);
+  soak_signal (process, signal_number);
   waitpid (process->pid, NULL, 0);
   if (process->input >= 0)
     close (process->input);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -134,6 +134,10 @@
 /** soak_start_server() - start the server of @machine, with a new instance id. */
 void soak_start_server (size_t machine);
 
+/** soak_signal() - send a signal to a process; no-op if it is not running. Process 0
+ * would be the whole process group. */
+void soak_signal (const process_t *process, int signal_number);
+
 /** soak_end_process() - send a fatal signal and wait; no-op if not running. */
 void soak_end_process (process_t *process, int signal_number);
 
