Repeat reads of the configuration whose answer is overdue

Cause: a read without a wait had the time-out of a read that waits, 28 s. One that reached the silent store was never answered and kept all others from being made.

Change: an answer is overdue 1 s after the wait that was asked for; the read is made again with a backoff, and the overdue one stays open for a store that is only slow. Reads that wait are spread, one each 1.5 s over all nodes, so that one of them finds what the store failed to deliver; it tells all others. A node that gets a version from another one repeats its own read 1 s later unless that ends.

--- a/src/mesh/config_state.c
+++ b/src/mesh/config_state.c
@@ -4,7 +4,8 @@
  * Configuration versions increase monotonically. Nodes normally read the configuration
  * from the store. A node that sees a newer version in a frame waits
  * FQ_CONFIG_REQUEST_DELAY_US for the store to deliver it and then requests it from the
- * sender of that frame; a node without any configuration requests it at once.
+ * sender of that frame; a node without any configuration requests it at once. A node that
+ * finds a version late in the store tells all others, which may send no frames for long.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -67,8 +68,24 @@
                    mesh->now + FQ_CONFIG_REQUEST_DELAY_US);
 }
 
+/* Every frame states the version in force. */
+static void
+announce_version (fq_mesh_t *mesh)
+{
+  size_t cursor = 0;
+  const fq_peer_t *peer;
+
+  while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
+    {
+      fq_frame_t frame = { .kind = FQ_FRAME_PING };
+
+      if (peer != mesh->self && peer->link == FQ_LINK_UP)
+        fq_mesh_send_to_gate (mesh, peer->address, &frame);
+    }
+}
+
 void
-fq_mesh_apply_config (fq_mesh_t *mesh, fq_config_t *config)
+fq_mesh_apply_config (fq_mesh_t *mesh, fq_config_t *config, bool found_late)
 {
   uint64_t old = fq_mesh_config_version (mesh);
 
@@ -82,8 +99,12 @@
   mesh->config = fq_config_ref (config);
   mesh->metrics.counters[FQ_METRIC_CONFIGS]++;
   fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_REQUEST_LIMITS)->limits = config->limits;
-  fq_mesh_log (mesh, false, "event=config-in-force version=%llu previous=%llu hosts=%zu",
+  fq_mesh_log (mesh, false,
+               "event=config-in-force version=%llu previous=%llu hosts=%zu "
+               "found_late=%d",
                (unsigned long long)config->version, (unsigned long long)old,
-               config->host_count);
+               config->host_count, found_late);
+  if (found_late && old != 0)
+    announce_version (mesh);
   fq_server_state_probe_if_uncertain (mesh);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -230,7 +230,7 @@
       fq_server_state_probe_succeeded (mesh, event->probe.instance, &event->probe.notice);
       break;
     case FQ_MESH_EVENT_CONFIG:
-      fq_mesh_apply_config (mesh, event->config);
+      fq_mesh_apply_config (mesh, event->config.received, event->config.found_late);
       break;
     case FQ_MESH_EVENT_NODES:
       add_nodes (mesh, event->nodes.addresses, event->nodes.count);
@@ -280,6 +280,12 @@
   return mesh->config == NULL ? 0 : mesh->config->version;
 }
 
+size_t
+fq_mesh_nodes_up (const fq_mesh_t *mesh)
+{
+  return fq_peer_count_up (mesh) + 1;
+}
+
 void
 fq_mesh_write_metrics (const fq_mesh_t *mesh, fq_buffer_t *out)
 {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -169,7 +169,11 @@
       fq_server_notice_t notice;
     } probe;                   /* probe ok */
     fq_server_report_t report; /* deregister: only instance and started_ms are used */
-    fq_config_t *config;
+    struct
+    {
+      fq_config_t *received;
+      bool found_late; /* the store did not deliver it when it was written */
+    } config;
     struct
     {
       const fq_node_address_t *addresses;
@@ -291,6 +295,9 @@
 /** fq_mesh_config_version() - version of the configuration in force; 0: none yet. */
 uint64_t fq_mesh_config_version (const fq_mesh_t *mesh);
 
+/** fq_mesh_nodes_up() - number of nodes that are connected, with this one. */
+size_t fq_mesh_nodes_up (const fq_mesh_t *mesh);
+
 /** fq_mesh_write_metrics() - append all metrics in the Prometheus text format. */
 void fq_mesh_write_metrics (const fq_mesh_t *mesh, fq_buffer_t *out);
 
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -242,9 +242,13 @@
 
 /* config_state.c: the configuration in force. */
 
-/** fq_mesh_apply_config() - put @config in force and take a reference of its own; ignored
- * unless its version is newer. */
-void fq_mesh_apply_config (fq_mesh_t *mesh, fq_config_t *config);
+/**
+ * fq_mesh_apply_config() - put @config in force and take a reference of its own; ignored
+ * unless its version is newer.
+ * @found_late: the store did not deliver it when it was written; other nodes may have
+ * missed it too and are told of its version
+ */
+void fq_mesh_apply_config (fq_mesh_t *mesh, fq_config_t *config, bool found_late);
 
 /** fq_mesh_send_config() - send the configuration in force to an entry; nothing is sent
  * unless it is newer than version @known. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -219,10 +219,12 @@
 }
 
 static void
-dispatch_config (fq_node_t *node, fq_config_t *config)
+dispatch_config (fq_node_t *node, fq_config_t *config, bool found_late)
 {
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CONFIG, .config = config };
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CONFIG };
 
+  event.config.received = config;
+  event.config.found_late = found_late;
   fq_node_dispatch (node, &event);
 }
 
@@ -237,8 +239,9 @@
                            (unsigned long long)frame->number, fq_error_last ()->message);
       return;
     }
-  dispatch_config (node, config);
+  dispatch_config (node, config, false);
   fq_config_unref (config);
+  fq_store_watch_expect_change (node->store);
 }
 
 static void
@@ -321,9 +324,9 @@
 };
 
 static void
-on_config (void *context, fq_config_t *config)
+on_config (void *context, fq_config_t *config, bool found_late)
 {
-  dispatch_config (context, config);
+  dispatch_config (context, config, found_late);
 }
 
 static void
@@ -336,9 +339,18 @@
   fq_node_dispatch (context, &event);
 }
 
+static size_t
+count_nodes (void *context)
+{
+  const fq_node_t *node = context;
+
+  return fq_mesh_nodes_up (node->mesh);
+}
+
 static const fq_store_watch_handlers_t store_handlers = {
   .config = on_config,
   .nodes = on_nodes,
+  .count_nodes = count_nodes,
 };
 
 static void
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -13,11 +13,25 @@
 #include "util/text.h"
 
 #define FQ_STATUS_OK 200
-#define FQ_READ_TIMEOUT_MS 2500  /* of any call but a feed */
-#define FQ_FEED_WAIT_MS 25000    /* that the store may hold back an answer of a feed */
-#define FQ_FEED_TIMEOUT_MS 28000 /* longer than the wait, for the answer to arrive */
+#define FQ_MS_PER_SECOND 1000.0
+#define FQ_READ_TIMEOUT_MS 2500 /* of calls about the directory */
+
+/* After the wait that a read of the configuration has asked for. An answer that is not
+ * there by then may be lost, so the read is repeated; it may also only be slow, so the
+ * first read stays open. */
+#define FQ_ANSWER_DUE_MS 1000
+#define FQ_OVERDUE_TIMEOUT_MS 28000 /* that an overdue answer is awaited */
+#define FQ_CONFIG_READS_MAX 2       /* the one that is due, and one overdue */
+
+/* The store may lose the answer to a read that waits, and a node learns of that when its
+ * next read is due. All nodes together begin a read in each such interval, so that one of
+ * them soon finds what all have missed. */
+#define FQ_FEED_SPACING_MS 1500
+#define FQ_FEED_WAIT_SHORTEST_MS 4000
+#define FQ_FEED_WAIT_LONGEST_MS 25000
 #define FQ_RETRY_FIRST_SECONDS 0.1
 #define FQ_RETRY_MAX_SECONDS 1.0
+#define FQ_RETRY_JITTER 0.5 /* share of the backoff that is random */
 /* After a restore of the store, each node reads the directory within this time, longer by
  * 1 s for so many nodes, so that they don't all do so at once. */
 #define FQ_RECHECK_SPREAD_SECONDS 0.5
@@ -31,6 +45,13 @@
   DIRECTORY_READING,     /* reading all rows, page by page */
 } directory_step_t;
 
+/* A read of the configuration. */
+typedef struct
+{
+  fq_store_watch_t *watch;
+  fq_http_call_t *call; /* NULL: it is not in progress */
+} config_read_t;
+
 struct fq_store_watch
 {
   fq_io_t *io;
@@ -39,16 +60,18 @@
   char self[FQ_ADDRESS_BYTES];
   const fq_store_watch_handlers_t *handlers;
   void *context;
-  fq_http_call_t *config_call;    /* in progress, or NULL */
+  config_read_t config_reads[FQ_CONFIG_READS_MAX];
+  config_read_t *newest_read;     /* the other one, if in progress, is overdue */
   fq_http_call_t *directory_call; /* in progress, or NULL */
+  ev_timer config_due;            /* the answer to the newest read is overdue */
   ev_timer config_retry;
   ev_timer directory_retry;
   double config_backoff; /* backoff before the next attempt, seconds */
   /* Store version up to which the feed was read; 0: read the row of the configuration
    * itself, not the feed. */
   uint64_t version;
-  /* 0 after a failed call, so that an answer shows at once whether the store is still in
-   * the same era. */
+  /* That the next read lets the store wait for a change. 0 after a failed call, so that
+   * an answer shows at once whether the store is still in the same era. */
   uint32_t feed_wait_ms;
   uint64_t era; /* of the store, to which the version belongs */
   bool era_known;
@@ -73,6 +96,28 @@
     out[0] = '\0';
 }
 
+/* Starts @timer anew; it expires once. */
+static void
+restart_timer (fq_store_watch_t *watch, ev_timer *timer, double seconds)
+{
+  ev_timer_stop (watch->io->loop, timer);
+  ev_timer_set (timer, seconds, 0.);
+  ev_timer_start (watch->io->loop, timer);
+}
+
+/* Many nodes must not repeat their reads at the same time, nor a large fleet as often as
+ * a small one. */
+static double
+next_config_backoff (fq_store_watch_t *watch)
+{
+  double longest
+      = FQ_RETRY_MAX_SECONDS + (double)watch->nodes / FQ_RECHECK_NODES_PER_SECOND;
+  double backoff = watch->config_backoff;
+
+  watch->config_backoff = backoff * 2 < longest ? backoff * 2 : longest;
+  return backoff * (1 - FQ_RETRY_JITTER * fq_random_unit (&watch->random));
+}
+
 static void
 retry_config (fq_store_watch_t *watch, const char *reason, unsigned int status)
 {
@@ -81,12 +126,8 @@
                          reason, status, (unsigned long long)watch->version);
   watch->store_lost = true;
   watch->feed_wait_ms = 0;
-  ev_timer_stop (watch->io->loop, &watch->config_retry);
-  ev_timer_set (&watch->config_retry, watch->config_backoff, 0.);
-  ev_timer_start (watch->io->loop, &watch->config_retry);
-  watch->config_backoff *= 2;
-  if (watch->config_backoff > FQ_RETRY_MAX_SECONDS)
-    watch->config_backoff = FQ_RETRY_MAX_SECONDS;
+  ev_timer_stop (watch->io->loop, &watch->config_due);
+  restart_timer (watch, &watch->config_retry, next_config_backoff (watch));
 }
 
 static void
@@ -107,6 +148,21 @@
   *call = NULL;
 }
 
+/* Returns whether a read was in progress. */
+static bool
+abort_config_reads (fq_store_watch_t *watch)
+{
+  bool any = false;
+
+  ev_timer_stop (watch->io->loop, &watch->config_due);
+  for (size_t i = 0; i < FQ_CONFIG_READS_MAX; i++)
+    {
+      any = any || watch->config_reads[i].call != NULL;
+      abort_call (&watch->config_reads[i].call);
+    }
+  return any;
+}
+
 /* Reads the directory again at a random time: the row of this node, or of others, may be
  * lost. finish_directory_read() writes a lost row again. */
 static void
@@ -119,9 +175,8 @@
   watch->step = DIRECTORY_READING;
   watch->next_key[0] = '\0';
   watch->seen_self = false;
-  ev_timer_stop (watch->io->loop, &watch->directory_retry);
-  ev_timer_set (&watch->directory_retry, fq_random_unit (&watch->random) * spread, 0.);
-  ev_timer_start (watch->io->loop, &watch->directory_retry);
+  restart_timer (watch, &watch->directory_retry,
+                 fq_random_unit (&watch->random) * spread);
 }
 
 /* The store has come back from an older copy. What was read up to the version says
@@ -136,11 +191,8 @@
   watch->era = era;
   watch->version = 0;
   recheck_directory (watch);
-  if (watch->config_call != NULL)
-    {
-      abort_call (&watch->config_call);
-      request_config (watch);
-    }
+  if (abort_config_reads (watch))
+    request_config (watch);
 }
 
 /* Returns whether @answer is of the era that this node knows; if it is of a later one,
@@ -167,8 +219,9 @@
   return false;
 }
 
+/* @found_late: a read that came before it should have brought it */
 static void
-report_config_row (fq_store_watch_t *watch, const fq_platform_row_t *row)
+report_config_row (fq_store_watch_t *watch, const fq_platform_row_t *row, bool found_late)
 {
   fq_config_t *config;
 
@@ -180,17 +233,50 @@
                            (unsigned long long)row->version, fq_error_last ()->message);
       return;
     }
-  watch->handlers->config (watch->context, config);
+  watch->handlers->config (watch->context, config, found_late);
   fq_config_unref (config);
 }
 
+/* After a change, or a failure, all nodes begin a read at the same time; a random wait
+ * spreads their later ones. */
+static uint32_t
+choose_feed_wait (fq_store_watch_t *watch, bool waited_in_full)
+{
+  uint64_t longest = FQ_FEED_SPACING_MS * watch->handlers->count_nodes (watch->context);
+
+  if (longest < FQ_FEED_WAIT_SHORTEST_MS)
+    longest = FQ_FEED_WAIT_SHORTEST_MS;
+  if (longest > FQ_FEED_WAIT_LONGEST_MS)
+    longest = FQ_FEED_WAIT_LONGEST_MS;
+  if (waited_in_full)
+    return (uint32_t)longest;
+  return FQ_ANSWER_DUE_MS
+         + (uint32_t)fq_random_below (&watch->random, longest - FQ_ANSWER_DUE_MS);
+}
+
+static void
+handle_config_rows (fq_store_watch_t *watch, const fq_platform_rows_t *rows)
+{
+  bool found_late = watch->store_lost;
+
+  watch->feed_wait_ms
+      = choose_feed_wait (watch, watch->feed_wait_ms != 0 && rows->count == 0);
+  watch->version = rows->version;
+  reset_config_backoff (watch);
+  for (size_t i = 0; i < rows->count; i++)
+    report_config_row (watch, &rows->rows[i], found_late);
+}
+
 static void
 on_config_answered (void *context, fq_http_message_t *answer)
 {
-  fq_store_watch_t *watch = context;
+  config_read_t *read = context;
+  fq_store_watch_t *watch = read->watch;
   fq_platform_rows_t rows;
 
-  watch->config_call = NULL;
+  read->call = NULL;
+  abort_config_reads (watch);
+  ev_timer_stop (watch->io->loop, &watch->config_retry);
   if (!is_of_present_era (watch, answer))
     {
       watch->version = 0;
@@ -210,11 +296,7 @@
       retry_config (watch, "refused", answer->status);
       return;
     }
-  watch->version = rows.version;
-  watch->feed_wait_ms = FQ_FEED_WAIT_MS;
-  reset_config_backoff (watch);
-  for (size_t i = 0; i < rows.count; i++)
-    report_config_row (watch, &rows.rows[i]);
+  handle_config_rows (watch, &rows);
   fq_platform_rows_clear (&rows);
   request_config (watch);
 }
@@ -222,10 +304,12 @@
 static void
 on_config_failed (void *context, fq_http_failure_t failure)
 {
-  fq_store_watch_t *watch = context;
+  config_read_t *read = context;
 
-  watch->config_call = NULL;
-  retry_config (watch, failure == FQ_HTTP_FAILURE_CONNECT ? "connect" : "no-answer", 0);
+  read->call = NULL;
+  if (read == read->watch->newest_read)
+    retry_config (read->watch,
+                  failure == FQ_HTTP_FAILURE_CONNECT ? "connect" : "no-answer", 0);
 }
 
 static const fq_http_call_handlers_t config_handlers = {
@@ -233,30 +317,71 @@
   .failed = on_config_failed,
 };
 
+/* Of two reads without an answer the older one stays open, as a slow store answers it
+ * first. */
+static void
+on_config_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  fq_store_watch_t *watch = timer->data;
+
+  (void)loop;
+  (void)events;
+  for (size_t i = 0; i < FQ_CONFIG_READS_MAX; i++)
+    {
+      if (&watch->config_reads[i] != watch->newest_read
+          && watch->config_reads[i].call != NULL)
+        abort_call (&watch->newest_read->call);
+    }
+  retry_config (watch, "overdue", 0);
+}
+
+static config_read_t *
+unused_config_read (fq_store_watch_t *watch)
+{
+  config_read_t *read = watch->config_reads;
+
+  while (read->call != NULL)
+    read++;
+  return read;
+}
+
 static void
 request_config (fq_store_watch_t *watch)
 {
   bool is_feed = watch->version != 0;
-  fq_http_call_options_t options
-      = { .timeout_ms = is_feed ? FQ_FEED_TIMEOUT_MS : FQ_READ_TIMEOUT_MS };
+  uint32_t wait_ms = is_feed ? watch->feed_wait_ms : 0;
+  fq_http_call_options_t options = { .timeout_ms = wait_ms + FQ_OVERDUE_TIMEOUT_MS };
   fq_http_message_t *request;
 
   if (is_feed)
     request = fq_platform_feed_request (FQ_PLATFORM_TABLE_OPERATORS, watch->store,
-                                        watch->version, watch->feed_wait_ms);
+                                        watch->version, wait_ms);
   else
     request = fq_platform_rows_request (FQ_PLATFORM_TABLE_OPERATORS, watch->store,
                                         FQ_PLATFORM_CONFIG_KEY);
-  if (fq_http_client_call (&watch->config_call, watch->client, request, &options,
-                           &config_handlers, watch)
+  watch->newest_read = unused_config_read (watch);
+  restart_timer (watch, &watch->config_due,
+                 (wait_ms + FQ_ANSWER_DUE_MS) / FQ_MS_PER_SECOND);
+  if (fq_http_client_call (&watch->newest_read->call, watch->client, request, &options,
+                           &config_handlers, watch->newest_read)
       < 0)
     {
-      watch->config_call = NULL;
+      watch->newest_read->call = NULL;
       retry_config (watch, "connect", 0);
     }
   fq_http_message_unref (request);
 }
 
+void
+fq_store_watch_expect_change (fq_store_watch_t *watch)
+{
+  const double due = FQ_ANSWER_DUE_MS / FQ_MS_PER_SECOND;
+
+  if (ev_is_active (&watch->config_due)
+      && ev_timer_remaining (watch->io->loop, &watch->config_due) > due)
+    restart_timer (watch, &watch->config_due, due);
+}
+
 static void
 on_config_retry (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -268,9 +393,7 @@
 static void
 retry_directory (fq_store_watch_t *watch)
 {
-  ev_timer_stop (watch->io->loop, &watch->directory_retry);
-  ev_timer_set (&watch->directory_retry, FQ_RETRY_MAX_SECONDS, 0.);
-  ev_timer_start (watch->io->loop, &watch->directory_retry);
+  restart_timer (watch, &watch->directory_retry, FQ_RETRY_MAX_SECONDS);
 }
 
 /* Continues after @key: "!" sorts before every character of an address, so that the new
@@ -477,8 +600,12 @@
   watch->random.state = ((uint64_t)self << 32) ^ (uint64_t)(ev_time () * 1e6);
   fq_text_copy (watch->store, sizeof watch->store, store_address);
   fq_node_address_format (watch->self, self);
+  for (size_t i = 0; i < FQ_CONFIG_READS_MAX; i++)
+    watch->config_reads[i].watch = watch;
+  ev_timer_init (&watch->config_due, on_config_due, 0., 0.);
   ev_timer_init (&watch->config_retry, on_config_retry, 0., 0.);
   ev_timer_init (&watch->directory_retry, on_directory_retry, 0., 0.);
+  watch->config_due.data = watch;
   watch->config_retry.data = watch;
   watch->directory_retry.data = watch;
   request_config (watch);
@@ -491,6 +618,7 @@
 {
   if (watch == NULL)
     return;
+  ev_timer_stop (watch->io->loop, &watch->config_due);
   ev_timer_stop (watch->io->loop, &watch->config_retry);
   ev_timer_stop (watch->io->loop, &watch->directory_retry);
   fq_http_client_free (watch->client);
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -16,8 +16,10 @@
  * only; nodes is called for each page of the directory. */
 typedef struct
 {
-  void (*config) (void *context, fq_config_t *config);
+  /* @found_late: the store failed to deliver it when it was written */
+  void (*config) (void *context, fq_config_t *config, bool found_late);
   void (*nodes) (void *context, const fq_node_address_t *addresses, size_t count);
+  size_t (*count_nodes) (void *context); /* nodes that read, with this one */
 } fq_store_watch_handlers_t;
 
 /**
@@ -39,6 +41,10 @@
  * it if that has not been done; does nothing while a read is in progress. */
 void fq_store_watch_discover_nodes (fq_store_watch_t *watch);
 
+/** fq_store_watch_expect_change() - another node has a change of the configuration that
+ * the store has not delivered: the read that waits for it is repeated soon. */
+void fq_store_watch_expect_change (fq_store_watch_t *watch);
+
 /** fq_store_watch_remove_node() - remove an unreachable node from the directory; a
  * failure is logged and not retried. */
 void fq_store_watch_remove_node (fq_store_watch_t *watch, fq_node_address_t node);
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -416,7 +416,8 @@
   fq_mesh_options_t options = FQ_MESH_OPTIONS_INIT;
   fq_node_address_t addresses[FLEET_NODES];
   fq_mesh_event_t nodes = { .kind = FQ_MESH_EVENT_NODES };
-  fq_mesh_event_t config = { .kind = FQ_MESH_EVENT_CONFIG, .config = fleet->config };
+  fq_mesh_event_t config
+      = { .kind = FQ_MESH_EVENT_CONFIG, .config = { .received = fleet->config } };
 
   options.address = fleet_address (node);
   options.zone = "z";
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -56,10 +56,11 @@
 START_TEST (test_older_configuration_is_ignored)
 {
   fq_config_t *newer = fleet_config (7, 1000);
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_CONFIG, .config = newer };
+  fq_mesh_event_t event
+      = { .kind = FQ_MESH_EVENT_CONFIG, .config = { .received = newer } };
 
   fleet_feed (&fleet, 0, &event);
-  event.config = fleet.config;
+  event.config.received = fleet.config;
   fleet_feed (&fleet, 0, &event);
   ck_assert_uint_eq (fq_mesh_config_version (fleet.nodes[0].mesh), 7);
   fq_config_unref (newer);
@@ -368,25 +369,55 @@
 }
 END_TEST
 
+/* Counts the requests for a configuration that are sent within @ms. */
+static size_t
+count_config_requests (int ms)
+{
+  size_t count = 0;
+
+  for (int i = 0; i < ms; i++)
+    {
+      fleet_advance (&fleet, 1);
+      for (size_t j = 0; j < fleet.message_count; j++)
+        count += fleet.messages[j].frame.kind == FQ_FRAME_CONFIG_REQUEST
+                 && fleet.messages[j].due > fleet.now;
+    }
+  return count;
+}
+
 /* A node that starts without a configuration sees its version in the WELCOME of every
  * peer, but requests the document from one peer only. */
 START_TEST (test_new_node_requests_configuration_from_one_peer)
 {
   fq_config_t *config = fleet.config;
-  size_t asked = 0;
 
   fleet_kill (&fleet, 0);
   fleet.config = NULL;
   fleet_start (&fleet, 0);
   fleet.config = config;
-  for (int ms = 0; ms < 250; ms++)
-    {
-      fleet_advance (&fleet, 1);
-      for (size_t i = 0; i < fleet.message_count; i++)
-        asked += fleet.messages[i].frame.kind == FQ_FRAME_CONFIG_REQUEST
-                 && fleet.messages[i].due > fleet.now;
-    }
-  ck_assert_uint_eq (asked, 1);
+  ck_assert_uint_eq (count_config_requests (250), 1);
+}
+END_TEST
+
+/* Guards against review case 1 on a related path: all nodes missed a change while the
+ * store was silent, and without requests between them none told the others of it. */
+START_TEST (test_configuration_found_late_is_told_to_others_in_a_quiet_time)
+{
+  fq_config_t *newer = fleet_config (7, 1000);
+  fq_mesh_event_t event
+      = { .kind = FQ_MESH_EVENT_CONFIG, .config = { .received = newer } };
+
+  fleet_advance (&fleet, 5000);
+  fleet_feed (&fleet, 0, &event);
+  /* What the store delivers in time needs no telling: it delivers it to all. */
+  ck_assert_uint_eq (count_config_requests (290), 0);
+  fq_config_unref (newer);
+  newer = fleet_config (8, 1000);
+  event.config.received = newer;
+  event.config.found_late = true;
+  fleet_feed (&fleet, 0, &event);
+  ck_assert_uint_ge (count_config_requests (400), FLEET_NODES - 1);
+  fq_config_unref (newer);
 }
 END_TEST
 
@@ -467,6 +498,7 @@
   tcase_add_test (tcase, test_shutdown_ends_before_process_is_killed);
   tcase_add_test (tcase, test_shutdown_refuses_requests_that_could_not_complete);
   tcase_add_test (tcase, test_new_node_requests_configuration_from_one_peer);
+  tcase_add_test (tcase, test_configuration_found_late_is_told_to_others_in_a_quiet_time);
   tcase_add_test (tcase, test_node_samples_are_bounded_and_cover_all_nodes);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
