Find crashes of servers in a quiet time, and isolate the requests suspected of them

Cause: a gate took its server for crashed only if another request was refused a connection within 1.5 s after the losses. In a quiet time none came before the server was back. Evidence: no log has a server-crash line; run-failed cause=connection-lost is followed by server-start 40 ms later.

Change: after a connection that broke without an answer the gate asks the server by a health check on a new connection; a refusal, an answer of another process, or the report of another start show the crash, unless the server was leaving or the node is being stopped. So that what ran beside it is not refused with it, a request suspected of two crashes runs beside no other such one, the next crash is blamed on it alone, and it is refused after three crashes, one of them alone. An answer clears it at all nodes; nodes that start are told.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -285,17 +285,18 @@
 }
 
 static fq_http_call_t *
-find_idle_connection (fq_http_client_t *client, uint32_t idle_ms_max)
+find_idle_connection (fq_http_client_t *client, const fq_http_call_options_t *options)
 {
   fq_list_t *link = fq_list_first (&client->idle_connections);
   fq_http_call_t *call;
   fq_time_t idle;
 
-  if (link == NULL)
+  if (link == NULL || options->new_connection)
     return NULL;
   call = FQ_LIST_ENTRY (link, fq_http_call_t, link);
   idle = fq_clock_now () - call->idle_since;
-  if (idle_ms_max > 0 && idle > (fq_time_t)idle_ms_max * FQ_MICROSECONDS_PER_MS)
+  if (options->idle_ms_max > 0
+      && idle > (fq_time_t)options->idle_ms_max * FQ_MICROSECONDS_PER_MS)
     return NULL;
   return call;
 }
@@ -333,7 +334,7 @@
                      const fq_http_call_handlers_t *handlers,
                      void *context)
 {
-  fq_http_call_t *call = find_idle_connection (client, options->idle_ms_max);
+  fq_http_call_t *call = find_idle_connection (client, options);
   int error;
 
   if (call == NULL)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -75,6 +75,7 @@
 {
   uint32_t idle_ms_max; /* reuse no connection that was idle for longer; 0: any */
   uint32_t timeout_ms;  /* until the answer is complete; 0: no timeout */
+  bool new_connection;  /* reuse none */
 } fq_http_call_options_t;
 
 /**
--- a/src/mesh/crash_suspects.c
+++ b/src/mesh/crash_suspects.c
@@ -2,25 +2,16 @@
 
 #include <stdlib.h>
 
-#define FQ_SUSPECT_TTL_US (120 * FQ_MICROSECONDS_PER_SECOND)
+#define FQ_SUSPECT_TTL_US (600 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_SUSPECT_SWEEP_INTERVAL_US (10 * FQ_MICROSECONDS_PER_SECOND)
 #define FQ_SUSPECTS_MAX 16384
-#define FQ_RECENT_LOSS_WINDOW_US (1500 * FQ_MICROSECONDS_PER_MS)
-
-typedef struct
-{
-  uint64_t fingerprint;
-  uint64_t crashes[FQ_CRASH_SUSPECT_CRASHES_MAX];
-  uint32_t count;
-  fq_time_t last_crash_at;
-} suspect_t;
 
 /* Returns false when all suspects were last seen at @cutoff or later. */
 static bool
 remove_one_older (fq_crash_suspects_t *suspects, fq_time_t cutoff)
 {
   size_t cursor = 0;
-  suspect_t *suspect;
+  fq_crash_suspect_t *suspect;
 
   while ((suspect = fq_map_next (&suspects->entries, &cursor)) != NULL)
     {
@@ -44,10 +35,10 @@
 }
 
 /* Returns NULL for a new suspect while FQ_SUSPECTS_MAX suspects are recorded. */
-static suspect_t *
+static fq_crash_suspect_t *
 get_or_add (fq_crash_suspects_t *suspects, uint64_t fingerprint)
 {
-  suspect_t *suspect = fq_map_get (&suspects->entries, fingerprint);
+  fq_crash_suspect_t *suspect = fq_map_get (&suspects->entries, fingerprint);
 
   if (suspect != NULL || suspects->entries.count >= FQ_SUSPECTS_MAX)
     return suspect;
@@ -60,44 +51,75 @@
   return suspect;
 }
 
+static bool
+is_known_crash (const fq_crash_suspect_t *suspect, uint64_t crash)
+{
+  for (uint32_t i = 0; i < suspect->count; i++)
+    {
+      if (suspect->crashes[i] == crash)
+        return true;
+    }
+  return false;
+}
+
 void
 fq_crash_suspects_add (fq_crash_suspects_t *suspects,
                        fq_time_t now,
                        uint64_t fingerprint,
-                       uint64_t crash)
+                       uint64_t crash,
+                       bool alone)
 {
-  suspect_t *suspect;
+  fq_crash_suspect_t *suspect;
 
   remove_expired (suspects, now);
   suspect = get_or_add (suspects, fingerprint);
   if (suspect == NULL)
     return;
   suspect->last_crash_at = now;
-  for (uint32_t i = 0; i < suspect->count; i++)
-    {
-      if (suspect->crashes[i] == crash)
-        return;
-    }
-  if (suspect->count < FQ_CRASH_SUSPECT_CRASHES_MAX)
+  suspect->alone = suspect->alone || alone;
+  if (suspect->count < FQ_CRASHES_REFUSED && !is_known_crash (suspect, crash))
     suspect->crashes[suspect->count++] = crash;
 }
 
-void
+bool
 fq_crash_suspects_clear (fq_crash_suspects_t *suspects, uint64_t fingerprint)
 {
-  if (suspects->entries.count > 0)
-    free (fq_map_remove (&suspects->entries, fingerprint));
+  fq_crash_suspect_t *suspect;
+
+  if (suspects->entries.count == 0)
+    return false;
+  suspect = fq_map_remove (&suspects->entries, fingerprint);
+  free (suspect);
+  return suspect != NULL;
 }
 
-uint32_t
-fq_crash_suspects_crashes (const fq_crash_suspects_t *suspects, uint64_t fingerprint)
+const fq_crash_suspect_t *
+fq_crash_suspects_find (const fq_crash_suspects_t *suspects, uint64_t fingerprint)
 {
-  const suspect_t *suspect;
+  return suspects->entries.count == 0 ? NULL
+                                      : fq_map_get (&suspects->entries, fingerprint);
+}
 
-  if (suspects->entries.count == 0)
-    return 0;
-  suspect = fq_map_get (&suspects->entries, fingerprint);
-  return suspect == NULL ? 0 : suspect->count;
+bool
+fq_crash_suspects_is_isolated (const fq_crash_suspects_t *suspects, uint64_t fingerprint)
+{
+  const fq_crash_suspect_t *suspect = fq_crash_suspects_find (suspects, fingerprint);
+
+  return suspect != NULL && suspect->count >= FQ_CRASHES_ISOLATED;
+}
+
+bool
+fq_crash_suspects_is_refused (const fq_crash_suspects_t *suspects, uint64_t fingerprint)
+{
+  const fq_crash_suspect_t *suspect = fq_crash_suspects_find (suspects, fingerprint);
+
+  return suspect != NULL && suspect->count >= FQ_CRASHES_REFUSED && suspect->alone;
+}
+
+const fq_crash_suspect_t *
+fq_crash_suspects_next (const fq_crash_suspects_t *suspects, size_t *cursor)
+{
+  return fq_map_next (&suspects->entries, cursor);
 }
 
 void
@@ -111,22 +133,53 @@
 void
 fq_recent_losses_add (fq_recent_losses_t *losses, fq_time_t now, uint64_t fingerprint)
 {
+  if (losses->count < FQ_RECENT_LOSSES_MAX)
+    losses->count++;
   losses->lost[losses->next].fingerprint = fingerprint;
   losses->lost[losses->next].at = now;
   losses->next = (losses->next + 1) % FQ_RECENT_LOSSES_MAX;
 }
 
+void
+fq_recent_losses_forget (fq_recent_losses_t *losses, fq_time_t alive_at)
+{
+  losses->count = 0;
+  for (size_t i = 0; i < FQ_RECENT_LOSSES_MAX; i++)
+    {
+      if (losses->lost[i].at < alive_at)
+        losses->lost[i].fingerprint = 0;
+      losses->count += losses->lost[i].fingerprint != 0;
+    }
+}
+
+static bool
+contains (const uint64_t *fingerprints, size_t count, uint64_t fingerprint)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      if (fingerprints[i] == fingerprint)
+        return true;
+    }
+  return false;
+}
+
 size_t
-fq_recent_losses_take (fq_recent_losses_t *losses, fq_time_t now, uint64_t *out)
+fq_recent_losses_take (fq_recent_losses_t *losses,
+                       fq_time_t now,
+                       fq_time_t window,
+                       uint64_t *out)
 {
   size_t count = 0;
 
+  losses->count = 0;
   for (size_t i = 0; i < FQ_RECENT_LOSSES_MAX; i++)
     {
-      if (losses->lost[i].fingerprint != 0
-          && now - losses->lost[i].at < FQ_RECENT_LOSS_WINDOW_US)
-        out[count++] = losses->lost[i].fingerprint;
+      uint64_t fingerprint = losses->lost[i].fingerprint;
+
       losses->lost[i].fingerprint = 0;
+      if (fingerprint != 0 && now - losses->lost[i].at < window
+          && !contains (out, count, fingerprint))
+        out[count++] = fingerprint;
     }
   return count;
 }
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -224,6 +224,15 @@
       fq_exchange_jitter_retry_after (mesh, FQ_RETRY_AFTER_DEFAULT_MS), cause);
 }
 
+static void
+refuse_suspect (fq_mesh_t *mesh, fq_exchange_t *exchange)
+{
+  fq_mesh_log (mesh, true, "event=suspect-refused id=%s fingerprint=%016llx",
+               exchange->request_id, (unsigned long long)exchange->fingerprint);
+  fq_exchange_finish_not_run (mesh, exchange,
+                              fq_gate_cause_name (FQ_GATE_CAUSE_CRASHES_SERVERS));
+}
+
 void
 fq_entry_receive (fq_mesh_t *mesh, const fq_mesh_request_t *request)
 {
@@ -253,10 +262,8 @@
       return;
     }
   exchange = new_exchange (mesh, request, route);
-  if (fq_crash_suspects_crashes (&mesh->crash_suspects, exchange->fingerprint)
-      >= FQ_CRASH_SUSPECT_CRASHES_MAX)
-    fq_exchange_finish_not_run (mesh, exchange,
-                                fq_gate_cause_name (FQ_GATE_CAUSE_CRASHES_SERVERS));
+  if (fq_crash_suspects_is_refused (&mesh->crash_suspects, exchange->fingerprint))
+    refuse_suspect (mesh, exchange);
   else
     try_next_gate (mesh, exchange, "no-gate");
 }
@@ -371,7 +378,7 @@
   exchange->servers_reached++;
   exchange->may_have_run = true;
   if (exchange->idempotent
-      && fq_crash_suspects_crashes (&mesh->crash_suspects, exchange->fingerprint) == 0)
+      && fq_crash_suspects_find (&mesh->crash_suspects, exchange->fingerprint) == NULL)
     try_next_gate (mesh, exchange, cause);
   else
     fq_exchange_finish_unanswered (mesh, exchange, cause);
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -14,6 +14,7 @@
   [FQ_GATE_CAUSE_INVALID_ANSWER] = "broken-answer",
   [FQ_GATE_CAUSE_CRASHES_SERVERS] = "crashes-servers",
   [FQ_GATE_CAUSE_RATE_LIMITED] = "rate-limit",
+  [FQ_GATE_CAUSE_ISOLATED] = "isolated",
 };
 
 static const char *const phase_names[] = {
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -39,9 +39,10 @@
   FQ_FRAME_CANCEL,    /* entry: the answer is not needed any more */
   FQ_FRAME_PING,      /* entry: liveness check */
   FQ_FRAME_PONG,      /* gate: answer to PING */
-  FQ_FRAME_CRASH_SUSPECTS, /* gate: requests that ran when its server crashed */
-  FQ_FRAME_CONFIG_REQUEST, /* entry: requests a configuration newer than @number */
-  FQ_FRAME_CONFIG,         /* gate: the configuration that was requested */
+  FQ_FRAME_CRASH_SUSPECTS,   /* gate: requests that ran when its server crashed */
+  FQ_FRAME_CONFIG_REQUEST,   /* entry: requests a configuration newer than @number */
+  FQ_FRAME_CONFIG,           /* gate: the configuration that was requested */
+  FQ_FRAME_SUSPECTS_CLEARED, /* gate: its server answered requests that were suspected */
 } fq_frame_kind_t;
 
 /** enum fq_gate_cause_t - why a gate refused a request or got no answer to it. */
@@ -62,6 +63,7 @@
   FQ_GATE_CAUSE_CRASHES_SERVERS, /* refused: it ran during several server crashes */
   FQ_GATE_CAUSE_RATE_LIMITED, /* its wait for the server's rate limit was or would be too
                                * long */
+  FQ_GATE_CAUSE_ISOLATED,     /* another request that may crash servers was running */
   FQ_GATE_CAUSE_COUNT,
 } fq_gate_cause_t;
 
@@ -143,6 +145,7 @@
   char zone[FQ_NAME_BYTES];
   fq_node_address_t *nodes; /* owned */
   size_t node_count;
+  bool alone;             /* CRASH_SUSPECTS: no other isolated request was running */
   uint64_t *fingerprints; /* owned */
   size_t fingerprint_count;
   uint8_t *document; /* owned */
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -152,6 +152,11 @@
 {
   fq_gate_queue_t *queue = &mesh->gate.queue;
 
+  if (run->stage == FQ_STAGE_HELD)
+    {
+      mesh->gate.held--;
+      return;
+    }
   if (run->stage == FQ_STAGE_WAITING)
     {
       fq_gate_queue_remove (queue, &run->queue_entry);
@@ -239,12 +244,23 @@
 enqueue_run (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
   run->stage = FQ_STAGE_WAITING;
+  if (run->start_by == 0)
+    run->start_by = run->arrived + fq_gate_max_wait (mesh, &run->offer);
   fq_gate_queue_push (&mesh->gate.queue, &run->queue_entry);
-  fq_timers_arm (&mesh->timers, &run->timer,
-                 run->arrived + fq_gate_max_wait (mesh, &run->offer));
+  fq_timers_arm (&mesh->timers, &run->timer, run->start_by);
   arm_rate_timer (mesh);
 }
 
+/* Starts @run, which waits for nothing yet, or queues it. */
+static void
+place_run (fq_mesh_t *mesh, fq_gate_run_t *run)
+{
+  if (fq_gate_queue_may_start (&mesh->gate.queue, run->queue_entry.rank))
+    take_slot (mesh, run);
+  else
+    enqueue_run (mesh, run);
+}
+
 /* Whether the wait or the grant of @run is over although its timer was not handled yet:
  * events that waited while the process stood still come before overdue timers. */
 static bool
@@ -253,19 +269,51 @@
   return run->timer.when <= mesh->now;
 }
 
+/* Why @run, which waits, has to be refused; FQ_GATE_CAUSE_NONE: it need not be. */
+static fq_gate_cause_t
+check_waiting (const fq_mesh_t *mesh, const fq_gate_run_t *run)
+{
+  if (is_overdue (mesh, run))
+    return FQ_GATE_CAUSE_EXPIRED;
+  if (fq_crash_suspects_is_refused (&mesh->crash_suspects, run->offer.fingerprint))
+    return FQ_GATE_CAUSE_CRASHES_SERVERS;
+  return FQ_GATE_CAUSE_NONE;
+}
+
+static void
+release_held (fq_mesh_t *mesh)
+{
+  fq_gate_run_t *run;
+
+  while (fq_gate_accepts_requests (mesh) && (run = fq_gate_next_released (mesh)) != NULL)
+    {
+      fq_gate_cause_t cause = check_waiting (mesh, run);
+
+      if (cause != FQ_GATE_CAUSE_NONE)
+        {
+          refuse_run (mesh, run, cause, false);
+          continue;
+        }
+      mesh->gate.held--;
+      place_run (mesh, run);
+    }
+}
+
 void
 fq_gate_start_queued (fq_mesh_t *mesh)
 {
   fq_gate_queue_t *queue = &mesh->gate.queue;
   fq_gate_queue_entry_t *entry;
 
+  release_held (mesh);
   while (fq_gate_accepts_requests (mesh) && (entry = fq_gate_queue_next (queue)) != NULL)
     {
       fq_gate_run_t *run = FQ_LIST_ENTRY (entry, fq_gate_run_t, queue_entry);
+      fq_gate_cause_t cause = check_waiting (mesh, run);
 
-      if (is_overdue (mesh, run))
+      if (cause != FQ_GATE_CAUSE_NONE)
         {
-          refuse_run (mesh, run, FQ_GATE_CAUSE_EXPIRED, false);
+          refuse_run (mesh, run, cause, false);
           continue;
         }
       fq_gate_queue_remove (queue, entry);
@@ -318,16 +366,17 @@
       return;
     }
   run = new_run (mesh, entry_connection, frame);
-  if (fq_gate_queue_may_start (&mesh->gate.queue, run->queue_entry.rank))
-    take_slot (mesh, run);
+  if (fq_gate_must_hold (mesh, run))
+    fq_gate_hold (mesh, run);
   else
-    enqueue_run (mesh, run);
+    place_run (mesh, run);
 }
 
 static void
 handle_message (fq_mesh_t *mesh, fq_id_t entry_connection, const fq_frame_t *frame)
 {
   fq_gate_run_t *run = find_run (mesh, entry_connection, frame->attempt);
+  fq_gate_cause_t cause;
 
   if (run == NULL || run->stage != FQ_STAGE_GRANTED || frame->message == NULL)
     {
@@ -338,9 +387,10 @@
                   FQ_GATE_CAUSE_EXPIRED, false, 0);
       return;
     }
-  if (is_overdue (mesh, run))
+  cause = check_waiting (mesh, run);
+  if (cause != FQ_GATE_CAUSE_NONE)
     {
-      refuse_run (mesh, run, FQ_GATE_CAUSE_EXPIRED, false);
+      refuse_run (mesh, run, cause, false);
       return;
     }
   if (!fq_gate_accepts_requests (mesh))
@@ -370,6 +420,7 @@
 {
   switch (run->stage)
     {
+    case FQ_STAGE_HELD:
     case FQ_STAGE_WAITING:
     case FQ_STAGE_GRANTED:
       release_slot (mesh, run, 0);
@@ -443,7 +494,7 @@
   {
     fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
 
-    if (run->stage == FQ_STAGE_WAITING)
+    if (run->stage == FQ_STAGE_WAITING || run->stage == FQ_STAGE_HELD)
       refuse_run (mesh, run, cause, false);
   }
 }
@@ -466,7 +517,7 @@
                (long long)((run->started - run->arrived) / FQ_MICROSECONDS_PER_MS),
                (long long)(elapsed / FQ_MICROSECONDS_PER_MS), run->offer.rank,
                run->starved, run->failed_not_for_capacity);
-  fq_crash_suspects_clear (&mesh->crash_suspects, run->offer.fingerprint);
+  fq_server_crash_run_answered (mesh, run);
   fq_histogram_add (&mesh->metrics.run_us, elapsed);
   release_slot (mesh, run, elapsed);
   if (run->entry_connection != 0)
@@ -480,9 +531,11 @@
 static void
 fail_run (fq_mesh_t *mesh, fq_gate_run_t *run, fq_gate_cause_t cause)
 {
-  fq_mesh_log (mesh, true, "event=run-failed id=%s instance=%s cause=%s ran_ms=%lld",
+  fq_mesh_log (mesh, true,
+               "event=run-failed id=%s instance=%s cause=%s fingerprint=%016llx "
+               "ran_ms=%lld",
                run->offer.request_id, mesh->gate.server.instance,
-               fq_gate_cause_name (cause),
+               fq_gate_cause_name (cause), (unsigned long long)run->offer.fingerprint,
                (long long)((mesh->now - run->started) / FQ_MICROSECONDS_PER_MS));
   release_slot (mesh, run, 0);
   send_end (mesh, run->entry_connection, run->attempt, FQ_FRAME_FAILED, cause, true,
@@ -534,13 +587,14 @@
     {
     case FQ_SERVER_CONNECT_FAILED:
       refuse_run (mesh, run, FQ_GATE_CAUSE_CONNECT_FAILED, false);
-      fq_server_crash_detected (mesh);
+      fq_server_crash_detected (mesh, "connection-refused");
       break;
     case FQ_SERVER_CONNECTION_LOST:
-      fq_recent_losses_add (&mesh->gate.recent_losses, mesh->now, run->offer.fingerprint);
+      fq_server_crash_run_lost (mesh, run);
       fail_run (mesh, run, FQ_GATE_CAUSE_CONNECTION_LOST);
       break;
     case FQ_SERVER_MALFORMED_ANSWER:
+      fq_server_crash_run_lost (mesh, run);
       fail_run (mesh, run, FQ_GATE_CAUSE_INVALID_ANSWER);
       break;
     }
@@ -552,6 +606,9 @@
 {
   switch (run->stage)
     {
+    case FQ_STAGE_HELD:
+      refuse_run (mesh, run, FQ_GATE_CAUSE_ISOLATED, false);
+      break;
     case FQ_STAGE_WAITING:
       refuse_run (mesh, run,
                   fq_rate_limit_is_open (&mesh->gate.queue.rate)
--- a/src/mesh/gate_admission.c
+++ b/src/mesh/gate_admission.c
@@ -112,8 +112,7 @@
   if (!fq_gate_accepts_requests (mesh)
       || strcmp (mesh->gate.server.service, offer->service) != 0)
     return FQ_GATE_CAUSE_NO_SERVER;
-  if (fq_crash_suspects_crashes (&mesh->crash_suspects, offer->fingerprint)
-      >= FQ_CRASH_SUSPECT_CRASHES_MAX)
+  if (fq_crash_suspects_is_refused (&mesh->crash_suspects, offer->fingerprint))
     return FQ_GATE_CAUSE_CRASHES_SERVERS;
   cause = check_capacity (mesh, offer);
   if (cause != FQ_GATE_CAUSE_NONE)
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -87,6 +87,7 @@
   add_nodes (mesh, frame->nodes, frame->node_count);
   fq_server_state_recall (mesh, &frame->recall);
   send_welcome (mesh, entry_connection);
+  fq_server_crash_tell_suspects (mesh, id);
 }
 
 static void
@@ -120,6 +121,7 @@
     case FQ_FRAME_PONG:
     case FQ_FRAME_CRASH_SUSPECTS:
     case FQ_FRAME_CONFIG:
+    case FQ_FRAME_SUSPECTS_CLEARED:
       fq_mesh_log (mesh, true, "event=frame-ignored kind=%d asker=%llu", frame->kind,
                    (unsigned long long)entry_connection);
       break;
@@ -164,6 +166,9 @@
     case FQ_MESH_TIMER_RATE:
       fq_gate_start_queued (mesh);
       break;
+    case FQ_MESH_TIMER_CRASH:
+      fq_server_crash_handle_timer (mesh);
+      break;
     case FQ_MESH_TIMER_DISCOVERY:
       discover_nodes (mesh);
       break;
@@ -226,8 +231,11 @@
     case FQ_MESH_EVENT_DEREGISTER:
       fq_server_state_handle_deregistration (mesh, &event->report);
       break;
-    case FQ_MESH_EVENT_PROBE_OK:
-      fq_server_state_probe_succeeded (mesh, event->probe.instance, &event->probe.notice);
+    case FQ_MESH_EVENT_PROBE:
+      if (event->probe.outcome == FQ_PROBE_HEALTHY)
+        fq_server_state_probe_succeeded (mesh, event->probe.instance,
+                                         &event->probe.notice);
+      fq_server_crash_probed (mesh, event->probe.outcome, event->probe.instance);
       break;
     case FQ_MESH_EVENT_CONFIG:
       fq_mesh_apply_config (mesh, event->config.received, event->config.found_late);
@@ -309,6 +317,7 @@
 {
   gate->timer.kind = FQ_MESH_TIMER_SERVER;
   gate->rate_timer.kind = FQ_MESH_TIMER_RATE;
+  gate->crash_timer.kind = FQ_MESH_TIMER_CRASH;
   fq_gate_queue_init (&gate->queue);
   fq_list_init (&gate->runs);
   fq_repeat_budget_init (&gate->budget, params->retry_window_ms);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -82,7 +82,7 @@
   FQ_MESH_EVENT_SERVER_FAILED, /* the local server gave no complete answer */
   FQ_MESH_EVENT_REPORT,        /* the local server sent a status report */
   FQ_MESH_EVENT_DEREGISTER,    /* the local server deregistered: it is about to stop */
-  FQ_MESH_EVENT_PROBE_OK,      /* the local server passed a health check */
+  FQ_MESH_EVENT_PROBE,         /* a health check of the local server ended */
   FQ_MESH_EVENT_CONFIG,        /* a configuration was received and parsed */
   FQ_MESH_EVENT_NODES,         /* nodes were read from the directory or settings */
   FQ_MESH_EVENT_SHUTDOWN,      /* the process got the signal to stop */
@@ -133,6 +133,15 @@
   FQ_SERVER_MALFORMED_ANSWER, /* the answer was truncated or malformed */
 } fq_server_failure_t;
 
+/** enum fq_probe_outcome_t - how a health check of the local server ended. */
+typedef enum
+{
+  FQ_PROBE_HEALTHY,
+  FQ_PROBE_UNHEALTHY,  /* it answered something else */
+  FQ_PROBE_REFUSED,    /* no connection could be made */
+  FQ_PROBE_UNANSWERED, /* the connection broke, or no answer came in time */
+} fq_probe_outcome_t;
+
 /** struct fq_mesh_event_t - one event; the shell owns what its pointers refer to. */
 typedef struct
 {
@@ -165,9 +174,10 @@
     } server_failed;
     struct
     {
-      const char *instance; /* of the server process that answered */
+      fq_probe_outcome_t outcome;
+      const char *instance; /* of the server process that answered; empty: not known */
       fq_server_notice_t notice;
-    } probe;                   /* probe ok */
+    } probe;
     fq_server_report_t report; /* deregister: only instance and started_ms are used */
     struct
     {
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -39,6 +39,7 @@
   FQ_MESH_TIMER_PEER,      /* reconnect, or check whether the gate is alive */
   FQ_MESH_TIMER_SERVER,    /* the drain has ended, or reports are overdue */
   FQ_MESH_TIMER_RATE,      /* the server's rate limit lets a queued request pass */
+  FQ_MESH_TIMER_CRASH,     /* check whether the server has crashed */
   FQ_MESH_TIMER_DISCOVERY, /* read the directory of nodes again */
   FQ_MESH_TIMER_CONFIG,    /* request the configuration of another node */
   FQ_MESH_TIMER_SHUTDOWN,  /* next step of the graceful shutdown */
@@ -129,6 +130,7 @@
 /** enum fq_run_stage_t - state of a run. */
 typedef enum
 {
+  FQ_STAGE_HELD,    /* a crash suspect; waits for another one to end */
   FQ_STAGE_WAITING, /* for a slot */
   FQ_STAGE_GRANTED, /* has a slot; waits for the request itself */
   FQ_STAGE_RUNNING, /* sent to the server */
@@ -146,6 +148,7 @@
   bool starved; /* a call of it failed, possibly for lack of capacity or time */
   bool failed_not_for_capacity; /* a call of it failed, not for lack of capacity */
   fq_time_t arrived;
+  fq_time_t start_by; /* it is refused if it can't start until then; 0: it did not wait */
   fq_time_t deadline;
   fq_time_t started;
   uint64_t server_generation; /* of the process that it was sent to */
@@ -179,7 +182,14 @@
   fq_map_t runs_by_request;         /* at the server; key: hash of the request's id */
   fq_map_t runs_by_attempt;         /* key: hash of connection and attempt */
   fq_repeat_budget_t budget;        /* for repeats of requests at the server */
+  uint32_t held;                    /* runs that are crash suspects and wait */
   fq_recent_losses_t recent_losses; /* suspects of the crash that may be found next */
+  fq_timer_entry_t crash_timer;
+  bool crash_check_pending;    /* a health check for these losses was sent */
+  uint32_t crash_checks;       /* sent for these losses */
+  fq_time_t crash_checked_at;  /* when the last one was sent */
+  uint64_t crash;              /* id of the crash that was found last; 0: none */
+  uint64_t crashed_generation; /* the process that ended in it */
 } fq_gate_t;
 
 /** struct fq_route_time_t - moving average of a route's answer times, over all gates. */
@@ -372,6 +382,17 @@
 
 void fq_gate_handle_run_timer (fq_mesh_t *mesh, fq_gate_run_t *run);
 void fq_gate_refuse_queued (fq_mesh_t *mesh, fq_gate_cause_t cause);
+
+/* isolation.c: runs that may crash the server. */
+
+/** fq_gate_must_hold() - whether @run may not run now, as another suspect does. */
+bool fq_gate_must_hold (const fq_mesh_t *mesh, const fq_gate_run_t *run);
+
+/** fq_gate_hold() - let the new @run wait until it may run. */
+void fq_gate_hold (fq_mesh_t *mesh, fq_gate_run_t *run);
+
+/** fq_gate_next_released() - a run that is held and may run now; NULL: none. */
+fq_gate_run_t *fq_gate_next_released (const fq_mesh_t *mesh);
 bool fq_gate_accepts_requests (const fq_mesh_t *mesh);
 
 /** fq_gate_find_running() - the run of a request that is at the server; NULL: none. */
@@ -437,8 +458,44 @@
 /** fq_server_notice_forget() - another process took the place of the server. */
 void fq_server_notice_forget (fq_mesh_t *mesh);
 
-/* server_crash.c: the local server refuses connections. */
-void fq_server_crash_detected (fq_mesh_t *mesh);
+/** fq_server_state_send_probe() - send a health check to the local server. Return:
+ * whether the configuration tells how. */
+bool fq_server_state_send_probe (fq_mesh_t *mesh);
+
+/* server_crash.c: crashes of the local server, and the requests suspected of them. */
+
+/** fq_server_crash_run_lost() - the server gave no complete answer to @run. */
+void fq_server_crash_run_lost (fq_mesh_t *mesh, const fq_gate_run_t *run);
+
+/** fq_server_crash_run_answered() - it answered @run, which is no suspect any more. */
+void fq_server_crash_run_answered (fq_mesh_t *mesh, const fq_gate_run_t *run);
+
+/** fq_server_crash_detected() - the server is gone; suspects what it lost unless it was
+ * leaving, and marks it absent. */
+void fq_server_crash_detected (fq_mesh_t *mesh, const char *reason);
+
+/** fq_server_crash_replaced() - another process reports from the address of the server.
+ */
+void fq_server_crash_replaced (fq_mesh_t *mesh);
+
+/** fq_server_crash_ready() - the server is ready, so it has not crashed. */
+void fq_server_crash_ready (fq_mesh_t *mesh);
+
+/** fq_server_crash_probed() - a health check ended. */
+void fq_server_crash_probed (fq_mesh_t *mesh,
+                             fq_probe_outcome_t outcome,
+                             const char *instance);
+void fq_server_crash_handle_timer (fq_mesh_t *mesh);
+
+/** fq_server_crash_add_suspect() - the request ran in a crash here or at another gate. */
+void fq_server_crash_add_suspect (fq_mesh_t *mesh,
+                                  uint64_t fingerprint,
+                                  uint64_t crash,
+                                  bool alone);
+
+/** fq_server_crash_tell_suspects() - tell an entry that connects which requests are
+ * isolated or refused. */
+void fq_server_crash_tell_suspects (fq_mesh_t *mesh, fq_id_t entry_connection);
 
 /* peers.c: the other nodes. */
 
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -277,8 +277,17 @@
 record_suspects (fq_mesh_t *mesh, const fq_frame_t *frame)
 {
   for (size_t i = 0; i < frame->fingerprint_count; i++)
-    fq_crash_suspects_add (&mesh->crash_suspects, mesh->now, frame->fingerprints[i],
-                           frame->number);
+    fq_server_crash_add_suspect (mesh, frame->fingerprints[i], frame->number,
+                                 frame->alone);
+}
+
+/* A run that was held beside one of them may run now. */
+static void
+clear_suspects (fq_mesh_t *mesh, const fq_frame_t *frame)
+{
+  for (size_t i = 0; i < frame->fingerprint_count; i++)
+    fq_crash_suspects_clear (&mesh->crash_suspects, frame->fingerprints[i]);
+  fq_gate_start_queued (mesh);
 }
 
 static bool
@@ -315,6 +324,9 @@
     case FQ_FRAME_CRASH_SUSPECTS:
       record_suspects (mesh, frame);
       break;
+    case FQ_FRAME_SUSPECTS_CLEARED:
+      clear_suspects (mesh, frame);
+      break;
     case FQ_FRAME_GRANT:
     case FQ_FRAME_REFUSE:
     case FQ_FRAME_ANSWER:
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -53,6 +53,8 @@
                (unsigned long long)gate->server_sequence, gate->queue.in_flight,
                gate->queue.queued);
   gate->server.phase = phase;
+  if (phase == FQ_PHASE_READY)
+    fq_server_crash_ready (mesh);
   if (phase == FQ_PHASE_ABSENT)
     fq_gate_refuse_queued (mesh, FQ_GATE_CAUSE_NO_SERVER);
   fq_server_state_broadcast (mesh);
@@ -156,6 +158,7 @@
                "warmup_ms=%u previous=%s",
                report->service, report->instance, (unsigned long long)report->started_ms,
                report->slots, report->warmup_ms, gate->server.instance);
+  fq_server_crash_replaced (mesh);
   if (gate->server.instance[0] != '\0')
     {
       fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_CLOSE_IDLE);
@@ -258,22 +261,28 @@
   return gate->server.instance[0] != '\0' || lowest_peer_limit (mesh) != 0;
 }
 
-/* Sends a health check, so that a node that starts while its server runs need not wait
- * for the next report. */
-void
-fq_server_state_probe_if_uncertain (fq_mesh_t *mesh)
+bool
+fq_server_state_send_probe (fq_mesh_t *mesh)
 {
-  const fq_service_t *service;
+  const fq_service_t *service = NULL;
   fq_mesh_effect_t *effect;
 
-  if (!should_probe (mesh))
-    return;
-  service = fq_config_find_service (mesh->config, mesh->service);
+  if (mesh->config != NULL)
+    service = fq_config_find_service (mesh->config, mesh->service);
   if (service == NULL)
-    return;
-  mesh->gate.probed = true;
+    return false;
   effect = fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_PROBE);
   fq_text_copy (effect->path, sizeof effect->path, service->probe_path);
+  return true;
+}
+
+/* Sends a health check, so that a node that starts while its server runs need not wait
+ * for the next report. */
+void
+fq_server_state_probe_if_uncertain (fq_mesh_t *mesh)
+{
+  if (should_probe (mesh))
+    mesh->gate.probed = fq_server_state_send_probe (mesh);
 }
 
 /* The health check was answered by the process that the first report named. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -307,13 +307,16 @@
 }
 
 static void
-on_probed (void *context, const char *instance, const fq_server_notice_t *notice)
+on_probed (void *context,
+           fq_probe_outcome_t outcome,
+           const char *instance,
+           const fq_server_notice_t *notice)
 {
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE_OK };
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE };
 
+  event.probe.outcome = outcome;
   event.probe.instance = instance;
   event.probe.notice = *notice;
-
   fq_node_dispatch (context, &event);
 }
 
--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -161,19 +161,26 @@
   fq_server_calls_t *calls = context;
   char instance[FQ_INSTANCE_BYTES];
   fq_server_notice_t notice;
+  bool healthy = fq_platform_read_probe_answer (answer, instance, sizeof instance);
 
   fq_platform_read_notice (answer, &notice);
-  if (fq_platform_read_probe_answer (answer, instance, sizeof instance))
-    calls->handlers->probed (calls->context, instance, &notice);
-  else
+  if (!healthy)
     fq_event_log_printf (true, "event=probe-refused status=%u", answer->status);
+  calls->handlers->probed (
+      calls->context, healthy ? FQ_PROBE_HEALTHY : FQ_PROBE_UNHEALTHY, instance, &notice);
 }
 
 static void
 on_probe_failed (void *context, fq_http_failure_t failure)
 {
-  (void)context;
+  static const fq_server_notice_t no_notice = { 0 };
+  fq_server_calls_t *calls = context;
+
   fq_event_log_printf (true, "event=probe-failed failure=%d", failure);
+  calls->handlers->probed (calls->context,
+                           failure == FQ_HTTP_FAILURE_CONNECT ? FQ_PROBE_REFUSED
+                                                              : FQ_PROBE_UNANSWERED,
+                           "", &no_notice);
 }
 
 static const fq_http_call_handlers_t probe_handlers = {
@@ -184,7 +191,8 @@
 void
 fq_server_calls_probe (fq_server_calls_t *calls, const char *path)
 {
-  fq_http_call_options_t options = { .timeout_ms = FQ_PROBE_TIMEOUT_MS };
+  fq_http_call_options_t options
+      = { .timeout_ms = FQ_PROBE_TIMEOUT_MS, .new_connection = true };
   fq_http_message_t *request = fq_platform_probe_request (calls->address, path);
   fq_http_call_t *call;
 
--- a/src/node/server_calls.h
+++ b/src/node/server_calls.h
@@ -19,8 +19,11 @@
                     const fq_server_notice_t *notice,
                     fq_http_message_t *answer);
   void (*failed) (void *context, fq_id_t run, fq_server_failure_t failure);
-  /* A health check succeeded. */
-  void (*probed) (void *context, const char *instance, const fq_server_notice_t *notice);
+  /* A health check ended. @instance: of the server that answered; empty: not known */
+  void (*probed) (void *context,
+                  fq_probe_outcome_t outcome,
+                  const char *instance,
+                  const fq_server_notice_t *notice);
 } fq_server_calls_handlers_t;
 
 /**
@@ -42,8 +45,8 @@
  * handler failed may be called from within. */
 void fq_server_calls_start (fq_server_calls_t *calls, const fq_mesh_effect_t *effect);
 
-/** fq_server_calls_probe() - send a health check to @path; only success is reported, to
- * the handler probed. */
+/** fq_server_calls_probe() - send a health check to @path, on a connection of its own;
+ * the handler probed is called, possibly from within. */
 void fq_server_calls_probe (fq_server_calls_t *calls, const char *path);
 
 /** fq_server_calls_abort() - close the connection of the call for @run, if it is in
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -818,7 +818,7 @@
   (ProtobufCMessageInit) fq__mesh__offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fq__mesh__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor fq__mesh__frame__field_descriptors[17] =
 {
   {
     "kind",
@@ -1012,8 +1012,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fq__Mesh__Frame, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fq__mesh__frame__field_indices_by_name[] = {
+  16,   /* field[16] = alone */
   1,   /* field[1] = attempt */
   6,   /* field[6] = cause */
   13,   /* field[13] = document */
@@ -1034,7 +1047,7 @@
 static const ProtobufCIntRange fq__mesh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor fq__mesh__frame__descriptor =
 {
@@ -1044,7 +1057,7 @@
   "Fq__Mesh__Frame",
   "fq.mesh",
   sizeof(Fq__Mesh__Frame),
-  16,
+  17,
   fq__mesh__frame__field_descriptors,
   fq__mesh__frame__field_indices_by_name,
   1,  fq__mesh__frame__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -157,10 +157,11 @@
   ProtobufCBinaryData document;
   protobuf_c_boolean lost_otherwise;
   Fq__Mesh__Recall *recall;
+  protobuf_c_boolean alone;
 };
 #define FQ__MESH__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fq__mesh__frame__descriptor) \
-    , 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL}, 0, NULL }
+    , 0, 0, NULL, NULL, NULL, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, {0,NULL}, 0, NULL, 0 }
 
 
 /* Fq__Mesh__Room methods */
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -105,6 +105,7 @@
   wire->frame.lost_otherwise = frame->failed_not_for_capacity;
   wire->frame.retry_after_ms = frame->retry_after_ms;
   wire->frame.number = frame->number;
+  wire->frame.alone = frame->alone;
   wire->frame.zone = (char *)frame->zone;
   wire->frame.n_nodes = frame->node_count;
   wire->frame.nodes = frame->nodes;
@@ -248,6 +249,7 @@
     .failed_not_for_capacity = wire->lost_otherwise,
     .retry_after_ms = wire->retry_after_ms,
     .number = wire->number,
+    .alone = wire->alone,
     .node_count = wire->n_nodes,
     .fingerprint_count = wire->n_fingerprints,
     .document_size = wire->document.len,
--- a/standins/server.c
+++ b/standins/server.c
@@ -2,11 +2,13 @@
  * DOC: Test double of an application server of the users' platform: it sends reports to
  * the node on its VM and answers each request WORK_MS milliseconds after it arrives.
  *
- * usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS [REPORTED]
+ * usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS [REPORTED [DOWN_MS [same]]]
  *   ADDRESS    where it listens
  *   REPORTS    where the node takes reports
  *   REPORTED   the address in its reports, if a proxy listens in front of it; default:
  *              ADDRESS
+ *   DOWN_MS    the server starts again this long after a crash, with "same" under its id,
+ *              else under an id of its own; default: it does not
  *
  * Standard output has a line "run REQUEST_ID CALLER MS" for each request that it runs, a
  * line "control NAME=VALUE MS" when the fields that it adds change, and
@@ -17,13 +19,15 @@
  * removes all such fields.
  *
  * The end of the path selects a fault: "refuse" answers 503 with X-Not-Executed, "drop"
- * closes the connection, "unsigned" answers without a signature, "never" does not answer.
+ * closes the connection, "unsigned" answers without a signature, "never" does not answer,
+ * "crash" ends the process at once, after a line "crash REQUEST_ID MS".
  */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <ev.h>
 
@@ -36,6 +40,11 @@
 #define SLOTS 20
 #define NEVER_SECONDS 3600. /* longer than any test, so that the answer is not sent */
 #define FIELD_BYTES 128
+#define DESCRIPTORS_MAX 1024
+#define ID_ARGUMENT 4
+#define REPORTED_ARGUMENT 6
+#define DOWN_ARGUMENT 7
+#define ARGUMENTS_MAX 9
 #define CONTROL_TARGET "/control/"
 #define STATUS_OK 200
 #define STATUS_WRONG_INSTANCE 421
@@ -49,6 +58,7 @@
   fq_http_message_t *answer;
 } work_t;
 
+static char **arguments;
 static struct ev_loop *loop;
 static fq_io_t io;
 static fq_http_server_t *server;
@@ -172,6 +182,35 @@
   reply (id, answer);
 }
 
+/* Replaces the process by a new one of the same process id, whose sockets are gone. */
+static void
+start_again (void)
+{
+  long down_ms = strtol (arguments[DOWN_ARGUMENT], NULL, 10);
+  char id[FIELD_BYTES];
+
+  for (int fd = STDERR_FILENO + 1; fd < DESCRIPTORS_MAX; fd++)
+    close (fd);
+  usleep ((useconds_t)down_ms * 1000);
+  if (arguments[DOWN_ARGUMENT + 1] == NULL)
+    {
+      snprintf (id, sizeof id, "%.*s+%lld", (int)strcspn (instance, "+"), instance,
+                monotonic_ms ());
+      arguments[ID_ARGUMENT] = id;
+    }
+  execv ("/proc/self/exe", arguments);
+}
+
+static void
+crash (const char *request_id)
+{
+  printf ("crash %s %lld\n", request_id, monotonic_ms ());
+  fflush (stdout);
+  if (arguments[REPORTED_ARGUMENT] != NULL && arguments[DOWN_ARGUMENT] != NULL)
+    start_again ();
+  _exit (EXIT_FAILURE);
+}
+
 static void
 on_request (void *context, fq_id_t id, fq_http_message_t *message, uint32_t from)
 {
@@ -207,6 +246,8 @@
       return;
     }
   fq_http_message_get (message, "X-Attempt-Id", request_id, sizeof request_id);
+  if (path_ends_with (message, "crash"))
+    crash (request_id);
   start_work (id, message, request_id);
 }
 
@@ -299,16 +340,18 @@
   ev_timer report_timer;
   ev_signal sigterm;
 
-  if (argc < 6 || argc > 7 || fq_address_parse (&address, argv[1]) < 0
+  if (argc <= REPORTED_ARGUMENT - 1 || argc > ARGUMENTS_MAX
+      || fq_address_parse (&address, argv[1]) < 0
       || fq_address_parse (&reports_address, argv[2]) < 0)
     {
       fprintf (stderr, "usage: fq-standin-server ADDRESS REPORTS SERVICE ID WORK_MS "
-                       "[REPORTED]\n");
+                       "[REPORTED [DOWN_MS [same]]]\n");
       return EXIT_FAILURE;
     }
-  address_text = argc == 7 ? argv[6] : argv[1];
+  arguments = argv;
+  address_text = argc > REPORTED_ARGUMENT ? argv[REPORTED_ARGUMENT] : argv[1];
   service = argv[3];
-  instance = argv[4];
+  instance = argv[ID_ARGUMENT];
   work_seconds = strtod (argv[5], NULL) / 1000;
   clock_gettime (CLOCK_REALTIME, &now);
   start_time_ms = (long long)now.tv_sec * 1000 + now.tv_nsec / 1000000;
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -68,6 +68,8 @@
   bool probed;                      /* its server has a probe to answer */
   char instance[FQ_INSTANCE_BYTES]; /* of its server */
   bool draining;                    /* its server drains */
+  bool server_down;                 /* its server takes no connections */
+  bool server_silent;               /* its server answers no probes */
   unsigned int generation;          /* number of its start */
   uint64_t sequence;
 } fleet_node_t;
@@ -251,18 +253,29 @@
     }
 }
 
-/* A draining server answers a probe as unhealthy, for which the reducer gets no event. */
+/* A draining server answers a probe as unhealthy. */
+static inline fq_probe_outcome_t
+fleet_probe_outcome (const fleet_node_t *node)
+{
+  if (node->server_down)
+    return FQ_PROBE_REFUSED;
+  if (node->server_silent)
+    return FQ_PROBE_UNANSWERED;
+  return node->draining ? FQ_PROBE_UNHEALTHY : FQ_PROBE_HEALTHY;
+}
+
 static inline void
 fleet_answer_probe (fleet_t *fleet, size_t node)
 {
   fleet_node_t *at = &fleet->nodes[node];
-  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE_OK };
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE };
 
   if (!at->probed)
     return;
   at->probed = false;
   event.probe.instance = at->instance;
-  if (!at->draining && at->instance[0] != '\0')
+  event.probe.outcome = fleet_probe_outcome (at);
+  if (at->server_down || at->server_silent || at->instance[0] != '\0')
     fleet_feed (fleet, node, &event);
 }
 
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -158,19 +158,39 @@
 {
   fq_crash_suspects_t suspects = { 0 };
 
-  fq_crash_suspects_add (&suspects, 0, 5, 100);
-  fq_crash_suspects_add (&suspects, 0, 5, 100);
-  ck_assert_uint_eq (fq_crash_suspects_crashes (&suspects, 5), 1);
-  fq_crash_suspects_add (&suspects, 0, 5, 101);
-  fq_crash_suspects_add (&suspects, 0, 5, 102);
-  fq_crash_suspects_add (&suspects, 0, 6, 102);
-  ck_assert_uint_eq (fq_crash_suspects_crashes (&suspects, 5),
-                     FQ_CRASH_SUSPECT_CRASHES_MAX);
-  fq_crash_suspects_clear (&suspects, 6);
-  ck_assert_uint_eq (fq_crash_suspects_crashes (&suspects, 6), 0);
+  fq_crash_suspects_add (&suspects, 0, 5, 100, false);
+  fq_crash_suspects_add (&suspects, 0, 5, 100, false);
+  ck_assert_uint_eq (fq_crash_suspects_find (&suspects, 5)->count, 1);
+  ck_assert (!fq_crash_suspects_is_isolated (&suspects, 5));
+  fq_crash_suspects_add (&suspects, 0, 5, 101, false);
+  ck_assert (fq_crash_suspects_is_isolated (&suspects, 5));
+  fq_crash_suspects_add (&suspects, 0, 5, 102, false);
+  fq_crash_suspects_add (&suspects, 0, 6, 102, false);
+  ck_assert_uint_eq (fq_crash_suspects_find (&suspects, 5)->count, FQ_CRASHES_REFUSED);
+  ck_assert (fq_crash_suspects_clear (&suspects, 6));
+  ck_assert_ptr_null (fq_crash_suspects_find (&suspects, 6));
+  ck_assert (!fq_crash_suspects_clear (&suspects, 6));
   /* Suspects expire. */
-  fq_crash_suspects_add (&suspects, 300 * SECOND, 7, 103);
-  ck_assert_uint_eq (fq_crash_suspects_crashes (&suspects, 5), 0);
+  fq_crash_suspects_add (&suspects, 700 * SECOND, 7, 103, false);
+  ck_assert_ptr_null (fq_crash_suspects_find (&suspects, 5));
+  fq_crash_suspects_free (&suspects);
+}
+END_TEST
+
+/* A request that ran in many crashes, but in each beside another isolated one, may have
+ * done nothing. */
+START_TEST (test_suspect_is_refused_only_after_a_crash_alone)
+{
+  fq_crash_suspects_t suspects = { 0 };
+
+  for (uint64_t crash = 1; crash <= 5; crash++)
+    fq_crash_suspects_add (&suspects, 0, 5, crash, false);
+  ck_assert (!fq_crash_suspects_is_refused (&suspects, 5));
+  fq_crash_suspects_add (&suspects, 0, 5, 6, true);
+  ck_assert (fq_crash_suspects_is_refused (&suspects, 5));
+  fq_crash_suspects_add (&suspects, 0, 6, 1, true);
+  fq_crash_suspects_add (&suspects, 0, 6, 2, true);
+  ck_assert (!fq_crash_suspects_is_refused (&suspects, 6));
   fq_crash_suspects_free (&suspects);
 }
 END_TEST
@@ -183,8 +203,18 @@
   fq_recent_losses_add (&losses, 0, 1);
   fq_recent_losses_add (&losses, 10 * SECOND, 2);
   fq_recent_losses_add (&losses, 10 * SECOND, 3);
-  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, lost), 2);
-  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, lost), 0);
+  fq_recent_losses_add (&losses, 10 * SECOND, 3);
+  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost),
+                     2);
+  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost),
+                     0);
+  /* Losses from before the server was still seen to run. */
+  fq_recent_losses_add (&losses, 20 * SECOND, 4);
+  fq_recent_losses_add (&losses, 21 * SECOND, 5);
+  fq_recent_losses_forget (&losses, 20 * SECOND + MS);
+  ck_assert_uint_eq (losses.count, 1);
+  ck_assert_uint_eq (fq_recent_losses_take (&losses, 21 * SECOND, 5 * SECOND, lost), 1);
+  ck_assert_uint_eq (lost[0], 5);
 }
 END_TEST
 
@@ -494,6 +524,7 @@
   tcase_add_test (tcase, test_split_matches_its_weights_in_every_20_requests);
   tcase_add_test (tcase, test_repeats_stay_within_their_budget);
   tcase_add_test (tcase, test_crash_counts_once_for_each_suspect);
+  tcase_add_test (tcase, test_suspect_is_refused_only_after_a_crash_alone);
   tcase_add_test (tcase, test_crash_suspects_only_recent_losses);
   tcase_add_test (tcase, test_queue_starts_by_rank_with_a_share_for_new_requests);
   tcase_add_test (tcase, test_expected_wait_counts_requests_queued_ahead);
--- a/tests/process/test_explain.sh
+++ b/tests/process/test_explain.sh
@@ -26,6 +26,16 @@
 wait_for 5 grep -q 'gate-server.*service=back.*phase=ready' "$work/m1.log" || fail "the gate of the service is not known"
 sleep 1
 
+# Both servers are killed while nothing runs; their gates notice when they connect for the request.
+kill -KILL "$(pid_of s2)" "$(pid_of s3)"
+send 1 /once/1 down -d x >/dev/null
+expect down connect
+for i in 2 3; do
+  start "s$i" "$build/fq-standin-server" "$(ip "$i"):$server_port" "$(ip "$i"):$reports_port" back "i-$i-2" 20
+done
+wait_for 5 grep -q 'gate-server.*instance=i-2-2 phase=ready' "$work/m1.log" || fail "server 2 is not back"
+wait_for 5 grep -q 'gate-server.*instance=i-3-2 phase=ready' "$work/m1.log" || fail "server 3 is not back"
+
 send 1 /nowhere/1 nowhere >/dev/null
 expect nowhere no-route
 send 1 /once/refuse refused -d x >/dev/null
@@ -58,10 +68,10 @@
 expect crowded no-room
 wait $(jobs -p | grep -vxF "$(printf '%s\n' "${pids[@]}")") || true
 
-# Both servers were killed; their gates notice when they connect for the request.
+# Both servers are killed. Requests are at the one whose node runs, so its gate notices at once.
 kill -KILL "$(pid_of s2)" "$(pid_of s3)"
-send 1 /once/1 down -d x >/dev/null
-expect down connect
+wait_for 2 grep -q 'server-phase.*to=absent reason=connection-refused' "$work/m$((5 - lost_node)).log" \
+  || fail "the gate does not notice that its server was killed"
 
 # A stopping node still accepts requests for 3 s. No gate is left for them: the node of one
 # has been killed, and the server of the other.
