Wait for clients that read slowly before a stopped node ends

Cause: the process ended when no exchange and no run was left; an exchange ends when its answer is in the output buffer. On a related path a connection that closes after its answer was cut 5 s after the answer was written, although the client went on reading.

Change: the shell tells the reducer whether accepted connections have output that their sockets don't take; the shutdown waits for it, at most until 0.7 s before the end of the grace, and logs what it left. A closing connection lasts 5 s without progress.

--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -15,7 +15,7 @@
 
 /* Maximum duration of fq_stream_connect(); clients allow as long for a connection. */
 #define FQ_CONNECT_TIMEOUT_SECONDS 1.0
-#define FQ_SHUTDOWN_TIMEOUT_SECONDS 5.0 /* until the buffered output is sent */
+#define FQ_SHUTDOWN_TIMEOUT_SECONDS 5.0 /* without any output being sent */
 #define FQ_LINGER_TIMEOUT_SECONDS 1.0   /* for the peer to read the last bytes */
 #define FQ_KEEPALIVE_IDLE_SECONDS 1
 #define FQ_KEEPALIVE_INTERVAL_SECONDS 1
@@ -37,6 +37,8 @@
   void *context;
   fq_buffer_t output;
   fq_list_t link; /* in the unsent or the closed list of io */
+  bool accepted;  /* by a listener */
+  bool blocked;   /* accepted, and the socket takes no more output at present */
   bool connecting;
   bool paused;
   bool shutting_down; /* no handlers are called; closes after its output */
@@ -78,11 +80,22 @@
   free (stream);
 }
 
+static void
+set_blocked (fq_stream_t *stream, bool blocked)
+{
+  blocked = blocked && stream->accepted;
+  if (stream->blocked == blocked)
+    return;
+  stream->blocked = blocked;
+  stream->io->blocked += blocked ? 1 : -1;
+}
+
 void
 fq_stream_close (fq_stream_t *stream)
 {
   if (stream->closed)
     return;
+  set_blocked (stream, false);
   stream->closed = true;
   ev_io_stop (stream->io->loop, &stream->readable);
   ev_io_stop (stream->io->loop, &stream->writable);
@@ -127,6 +140,7 @@
 on_output_sent (fq_stream_t *stream)
 {
   ev_io_stop (stream->io->loop, &stream->writable);
+  set_blocked (stream, false);
   if (stream->shutting_down)
     begin_linger (stream);
   else if (stream->handlers->drained != NULL)
@@ -146,6 +160,7 @@
       if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         {
           ev_io_start (stream->io->loop, &stream->writable);
+          set_blocked (stream, true);
           return;
         }
       if (sent < 0)
@@ -154,6 +169,8 @@
           return;
         }
       fq_buffer_consume (&stream->output, (size_t)sent);
+      if (stream->shutting_down)
+        start_timeout (stream, FQ_SHUTDOWN_TIMEOUT_SECONDS);
     }
   on_output_sent (stream);
 }
@@ -173,6 +190,13 @@
     }
 }
 
+bool
+fq_io_has_unsent (fq_io_t *io)
+{
+  fq_io_flush (io);
+  return io->blocked > 0;
+}
+
 static void
 free_closed_streams (fq_io_t *io)
 {
@@ -382,6 +406,7 @@
 {
   if (new_stream (out, io, fd, handlers, context) < 0)
     return FQ_ERROR_NOMEM;
+  (*out)->accepted = true;
   set_socket_options (fd, FQ_USER_TIMEOUT_ACCEPT_MS);
   ev_io_start (io->loop, &(*out)->readable);
   return FQ_OK;
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -53,6 +53,7 @@
   fq_list_t closed;            /* streams to be freed before the next wait */
   uint8_t *read_buffer;        /* FQ_IO_READ_BUFFER_BYTES, shared by all streams */
   uint64_t connections_opened; /* number of calls that started to connect */
+  int blocked;                 /* accepted streams whose output waits for the peer */
 } fq_io_t;
 
 /** FQ_IO_READ_BUFFER_BYTES - maximum number of bytes per read. */
@@ -67,6 +68,10 @@
 /** fq_io_flush() - send buffered output now rather than before the next wait. */
 void fq_io_flush (fq_io_t *io);
 
+/** fq_io_has_unsent() - send buffered output now. Return: whether accepted streams have
+ * output that the socket does not take yet. */
+bool fq_io_has_unsent (fq_io_t *io);
+
 /** fq_address_parse() - parse an IPv4 address "ip:port"; 0 or FQ_ERROR_INVALID. */
 int fq_address_parse (struct sockaddr_in *out, const char *text);
 
@@ -111,8 +116,8 @@
 /**
  * fq_stream_shutdown() - close after the buffered output was sent.
  *
- * Closes at the latest 5 s after the call when output is still unsent, and 1 s after the
- * output was sent. A stream that is still connecting is closed at once.
+ * Closes when no output was sent for 5 s, and 1 s after all of it was sent. A stream that
+ * is still connecting is closed at once.
  *
  * Input is read and dropped meanwhile, as a close with unread input would cause a reset
  * by which the peer may lose the last bytes sent. No handler is called any more, and the
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -146,7 +146,8 @@
 typedef struct
 {
   fq_mesh_event_kind_t kind;
-  fq_time_t now; /* see fq_clock_now() */
+  fq_time_t now;       /* see fq_clock_now() */
+  bool output_pending; /* in a shutdown: clients or entries have not taken all output */
   union
   {
     fq_mesh_request_t request;
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -231,6 +231,7 @@
   bool stopping;    /* shutting down: not ready for new clients */
   bool gate_closed; /* shutting down: the gate accepts no requests either */
   fq_time_t stopping_since;
+  bool output_pending; /* as of the current event */
   fq_timer_entry_t shutdown_timer;
 };
 
--- a/src/mesh/stopping.c
+++ b/src/mesh/stopping.c
@@ -3,7 +3,8 @@
  *
  * First the node still serves as entry and as gate while clients learn from its readiness
  * endpoint that it stops. Then its gate closes and requests in progress are completed.
- * The process ends when none is left, or shortly before it would be killed.
+ * The process ends when none is left and all answers are sent, or shortly before it would
+ * be killed.
  */
 #include "mesh/mesh_private.h"
 
@@ -20,7 +21,8 @@
 {
   fq_time_t elapsed = mesh->now - mesh->stopping_since;
   fq_time_t grace = (fq_time_t)mesh->params.grace_ms * FQ_MICROSECONDS_PER_MS;
-  bool idle = mesh->exchanges.count == 0 && mesh->gate.runs_by_id.count == 0;
+  bool idle = mesh->exchanges.count == 0 && mesh->gate.runs_by_id.count == 0
+              && !mesh->output_pending;
 
   if (elapsed >= FQ_STOP_SERVE_US && !mesh->gate_closed)
     {
@@ -30,9 +32,10 @@
     }
   if ((idle && mesh->gate_closed) || elapsed >= grace - FQ_STOP_MARGIN_US)
     {
-      fq_mesh_log (mesh, !idle, "event=stopped exchanges=%zu runs=%zu after_ms=%lld",
+      fq_mesh_log (mesh, !idle,
+                   "event=stopped exchanges=%zu runs=%zu output_pending=%d after_ms=%lld",
                    mesh->exchanges.count, mesh->gate.runs_by_id.count,
-                   (long long)(elapsed / FQ_MICROSECONDS_PER_MS));
+                   mesh->output_pending, (long long)(elapsed / FQ_MICROSECONDS_PER_MS));
       fq_entry_end_all (mesh);
       fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_STOPPED);
       return;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -112,6 +112,7 @@
 
   node->effects = (fq_mesh_effects_t){ 0 };
   event->now = fq_clock_now ();
+  event->output_pending = node->stopping && fq_io_has_unsent (&node->io);
   fq_mesh_reduce (node->mesh, event, &effects);
   for (size_t i = 0; i < effects.count; i++)
     apply_effect (node, &effects.items[i]);
@@ -481,6 +482,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_SHUTDOWN };
 
+  node->stopping = true;
   fq_node_dispatch (node, &event);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -25,6 +25,7 @@
   fq_mesh_t *mesh;
   fq_mesh_effects_t effects; /* empty array, kept for reuse */
   fq_list_t pending;         /* events that arose while @reducing */
+  bool stopping;             /* the shutdown has begun */
   bool reducing;             /* an event is being reduced or its effects carried out */
   ev_timer timer;
   fq_time_t timer_at; /* when @timer is due */
--- a/standins/server.c
+++ b/standins/server.c
@@ -20,7 +20,8 @@
  *
  * The end of the path selects a fault: "refuse" answers 503 with X-Not-Executed, "drop"
  * closes the connection, "unsigned" answers without a signature, "never" does not answer,
- * "crash" ends the process at once, after a line "crash REQUEST_ID MS".
+ * "crash" ends the process at once, after a line "crash REQUEST_ID MS". "large" answers
+ * LARGE_BYTES.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -38,6 +39,7 @@
 
 #define REPORT_INTERVAL_SECONDS 0.5
 #define SLOTS 20
+#define LARGE_BYTES 12000000
 #define NEVER_SECONDS 3600. /* longer than any test, so that the answer is not sent */
 #define FIELD_BYTES 128
 #define DESCRIPTORS_MAX 1024
@@ -136,6 +138,18 @@
   free (work);
 }
 
+static fq_blob_t *
+large_body (void)
+{
+  uint8_t *bytes = calloc (LARGE_BYTES, 1);
+  fq_blob_t *body;
+
+  if (bytes == NULL || fq_blob_new (&body, bytes, LARGE_BYTES) < 0)
+    abort ();
+  free (bytes);
+  return body;
+}
+
 static void
 start_work (fq_id_t id, const fq_http_message_t *message, const char *request_id)
 {
@@ -154,7 +168,9 @@
   fq_http_message_add (work->answer, "X-Instance-Id", instance);
   if (!path_ends_with (message, "unsigned"))
     fq_http_message_add (work->answer, "X-Response-Signature", "signed");
-  if (fq_blob_new (&work->answer->body, request_id, strlen (request_id)) < 0)
+  if (path_ends_with (message, "large"))
+    work->answer->body = large_body ();
+  else if (fq_blob_new (&work->answer->body, request_id, strlen (request_id)) < 0)
     abort ();
   ev_timer_init (&work->timer, on_work_done,
                  path_ends_with (message, "never") ? NEVER_SECONDS : work_seconds, 0.);
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -65,6 +65,7 @@
   bool silent;                      /* cut off by the network */
   bool frozen;                      /* its process stands still */
   bool stopped;                     /* it completed its graceful shutdown */
+  bool output_pending;              /* its clients have not taken all output */
   bool probed;                      /* its server has a probe to answer */
   char instance[FQ_INSTANCE_BYTES]; /* of its server */
   bool draining;                    /* its server drains */
@@ -287,6 +288,7 @@
   if (fleet->nodes[node].down)
     return;
   event->now = fleet->now;
+  event->output_pending = fleet->nodes[node].output_pending;
   fq_mesh_reduce (fleet->nodes[node].mesh, event, &effects);
   for (size_t i = 0; i < effects.count; i++)
     fleet_apply_effect (fleet, node, &effects.items[i]);
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -385,6 +385,31 @@
   return count;
 }
 
+/* Guards against review case 3: the node ended while clients still read their answers,
+ * which were cut. */
+START_TEST (test_shutdown_waits_for_output_within_the_grace)
+{
+  fq_mesh_event_t stop = { .kind = FQ_MESH_EVENT_SHUTDOWN };
+  uint32_t sent_ms[] = { 0, 2500, 4900, 100000 };
+  uint32_t ended_ms = 0;
+
+  fleet.nodes[1].output_pending = sent_ms[_i] > 0;
+  fleet_feed (&fleet, 1, &stop);
+  while (!fleet.nodes[1].stopped)
+    {
+      fleet.nodes[1].output_pending = ended_ms < sent_ms[_i];
+      fleet_advance (&fleet, 10);
+      ended_ms += 10;
+      ck_assert_uint_lt (ended_ms, 6000);
+    }
+  if (sent_ms[_i] < 6000)
+    {
+      ck_assert_uint_ge (ended_ms, sent_ms[_i]);
+      ck_assert_uint_le (ended_ms, (sent_ms[_i] > 2200 ? sent_ms[_i] : 2200) + 200);
+    }
+}
+END_TEST
+
 /* A node that starts without a configuration sees its version in the WELCOME of every
  * peer, but requests the document from one peer only. */
 START_TEST (test_new_node_requests_configuration_from_one_peer)
@@ -497,6 +522,7 @@
   tcase_add_test (tcase, test_shutdown_completes_requests_in_progress);
   tcase_add_test (tcase, test_shutdown_ends_before_process_is_killed);
   tcase_add_test (tcase, test_shutdown_refuses_requests_that_could_not_complete);
+  tcase_add_loop_test (tcase, test_shutdown_waits_for_output_within_the_grace, 0, 4);
   tcase_add_test (tcase, test_new_node_requests_configuration_from_one_peer);
   tcase_add_test (tcase, test_configuration_found_late_is_told_to_others_in_a_quiet_time);
   tcase_add_test (tcase, test_node_samples_are_bounded_and_cover_all_nodes);
