Let test_endless_answers wait for the healthy answers too

Cause: the test ran until all endless calls had failed, and then asked for all healthy answers, of which the last could still be on its way.

Change: it runs until both are there, within the same time-out; what is asked for is unchanged.

--- a/tests/http/test_endless_answers.c
+++ b/tests/http/test_endless_answers.c
@@ -15,6 +15,7 @@
 #include "http/client.h"
 
 #define CALLS 64
+#define HEALTHY_INTERVAL 8           /* endless calls for each healthy one */
 #define SENT_MAX ((size_t)256 << 20) /* the server gives up after so many bytes */
 #define ANSWER_MAX ((size_t)1 << 20) /* of the client's options */
 #define ANSWERS_MAX ((size_t)8 << 20)
@@ -199,8 +200,9 @@
     ev_break (running, EVBREAK_ALL);
 }
 
+/* Runs until all endless calls have failed and all healthy ones were answered. */
 static void
-run_until_all_have_failed (void)
+run_until_all_have_ended (void)
 {
   ev_timer tick;
   ev_tstamp end;
@@ -209,7 +211,7 @@
   end = ev_now (loop) + TIMEOUT_SECONDS;
   ev_timer_init (&tick, on_tick, 0.005, 0.005);
   ev_timer_start (loop, &tick);
-  while (failed < CALLS && ev_now (loop) < end)
+  while ((failed < CALLS || answered < CALLS / HEALTHY_INTERVAL) && ev_now (loop) < end)
     ev_run (loop, EVRUN_ONCE);
   ev_timer_stop (loop, &tick);
 }
@@ -227,12 +229,12 @@
   for (int i = 0; i < CALLS; i++)
     {
       call (client, "/endless", NULL);
-      if (i % 8 == 0)
+      if (i % HEALTHY_INTERVAL == 0)
         call (client, HEALTHY_TARGET, &healthy);
     }
-  run_until_all_have_failed ();
+  run_until_all_have_ended ();
   ck_assert_uint_eq (failed, CALLS);
-  ck_assert_uint_eq (answered, CALLS / 8);
+  ck_assert_uint_eq (answered, CALLS / HEALTHY_INTERVAL);
   ck_assert_uint_le (heap_peak, HEAP_MAX);
   fq_http_client_free (client);
 }
