Refuse granted requests too when the server is replaced or gone

Cause: when the server is replaced, only the requests that wait were refused. A grant was used for whatever server was there when the request came.

Change: all requests that were not sent yet are refused, as not run; their entries try another gate.

Test that failed before: test_grant_is_not_used_for_the_next_server (2 of 2 rows).

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -488,13 +488,13 @@
 }
 
 void
-fq_gate_refuse_queued (fq_mesh_t *mesh, fq_gate_cause_t cause)
+fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause)
 {
   FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
   {
     fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
 
-    if (run->stage == FQ_STAGE_WAITING || run->stage == FQ_STAGE_HELD)
+    if (run->stage != FQ_STAGE_RUNNING)
       refuse_run (mesh, run, cause, false);
   }
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -382,7 +382,10 @@
 void fq_gate_run_failed (fq_mesh_t *mesh, fq_id_t run, fq_server_failure_t failure);
 
 void fq_gate_handle_run_timer (fq_mesh_t *mesh, fq_gate_run_t *run);
-void fq_gate_refuse_queued (fq_mesh_t *mesh, fq_gate_cause_t cause);
+
+/** fq_gate_refuse_unstarted() - refuse all runs that were not sent to the server, also
+ * granted ones: what was decided for this server does not hold for the next. */
+void fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause);
 
 /* isolation.c: runs that may crash the server. */
 
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -56,7 +56,7 @@
   if (phase == FQ_PHASE_READY)
     fq_server_crash_ready (mesh);
   if (phase == FQ_PHASE_ABSENT)
-    fq_gate_refuse_queued (mesh, FQ_GATE_CAUSE_NO_SERVER);
+    fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
   fq_server_state_broadcast (mesh);
 }
 
@@ -162,7 +162,7 @@
   if (gate->server.instance[0] != '\0')
     {
       fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_CLOSE_IDLE);
-      fq_gate_refuse_queued (mesh, FQ_GATE_CAUSE_NO_SERVER);
+      fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
     }
   memcpy (gate->server.service, report->service, sizeof gate->server.service);
   memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
--- a/tests/mesh/test_pauses.c
+++ b/tests/mesh/test_pauses.c
@@ -55,12 +55,21 @@
 }
 END_TEST
 
-/* The request itself comes when its grant has expired. */
-START_TEST (test_expired_grant_is_not_used_after_a_pause)
+static void
+send_to_gate (const fq_frame_t *frame)
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ENTRY_FRAME };
+
+  event.frame.entry_connection = fleet_connection_id (&fleet, 0);
+  event.frame.frame = frame;
+  fleet_feed (&fleet, 1, &event);
+}
+
+/* Node 0 offers a request to the gate of node 1, which grants it. */
+static void
+offer_for_grant (void)
+{
   fq_frame_t offer = { .kind = FQ_FRAME_OFFER, .attempt = 77 };
-  fq_frame_t message = { .kind = FQ_FRAME_MESSAGE, .attempt = 77 };
 
   strcpy (offer.offer.service, "back");
   strcpy (offer.offer.request_id, "once");
@@ -69,15 +78,53 @@
   offer.offer.chain = 1;
   offer.offer.fingerprint = 1;
   offer.offer.remaining_ms = 5000;
-  event.frame.entry_connection = fleet_connection_id (&fleet, 0);
-  event.frame.frame = &offer;
-  fleet_feed (&fleet, 1, &event);
-  pause_all (3000);
+  send_to_gate (&offer);
+}
+
+static void
+send_granted_message (void)
+{
+  fq_frame_t message = { .kind = FQ_FRAME_MESSAGE, .attempt = 77 };
+
   message.message = fq_http_message_new ();
-  event.frame.frame = &message;
-  fleet_feed (&fleet, 1, &event);
+  send_to_gate (&message);
   fq_http_message_unref (message.message);
+}
+
+/* The request itself comes when its grant has expired. */
+START_TEST (test_expired_grant_is_not_used_after_a_pause)
+{
+  offer_for_grant ();
+  pause_all (3000);
+  send_granted_message ();
+  ck_assert_uint_eq (active_runs (1), 0);
+}
+END_TEST
+
+/* Guards against a finding of the review: a gate that wakes from a pause grants an offer
+ * for its old server, then hears of the server that has its address now, and sent the
+ * request to that one, which may be of another service. */
+START_TEST (test_grant_is_not_used_for_the_next_server)
+{
+  static const char *const services[] = { "other", "back" };
+  fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REPORT };
+
+  pause_all (1000);
+  offer_for_grant ();
+  strcpy (event.report.instance, "i-next");
+  strcpy (event.report.service, services[_i]);
+  event.report.started_ms = 2000;
+  event.report.sequence = 1;
+  event.report.slots = 10;
+  fleet_feed (&fleet, 1, &event);
+  send_granted_message ();
   ck_assert_uint_eq (active_runs (1), 0);
+  /* The next request of the same entry is granted and run, if there is a server for it.
+   */
+  fleet_advance (&fleet, 10);
+  offer_for_grant ();
+  send_granted_message ();
+  ck_assert_uint_eq (active_runs (1), (size_t)_i);
 }
 END_TEST
 
@@ -167,6 +214,7 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, test_request_whose_wait_is_over_does_not_start_after_a_pause);
   tcase_add_test (tcase, test_expired_grant_is_not_used_after_a_pause);
+  tcase_add_loop_test (tcase, test_grant_is_not_used_for_the_next_server, 0, 2);
   tcase_add_test (tcase, test_work_of_a_gate_that_is_silent_for_a_while_is_not_given_up);
   tcase_add_test (tcase, test_silent_gate_gets_no_requests_until_it_answers);
   tcase_add_loop_test (tcase, test_node_that_was_paused_does_not_take_others_for_lost,
