Refuse reports of a service that the configuration does not name

Cause: any service in a report was taken for the service of the machine.

Change: a report of a service that neither the configuration names nor the settings or earlier reports state is refused and logged. Without a configuration, reports are taken as before.

--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -183,12 +183,27 @@
   gate->queue.limit = limit > 0 ? limit : 1;
 }
 
+/* Whether @report may be of the server of this VM: of the service that the settings or
+ * earlier reports state, or of one that the configuration names. */
+static bool
+is_of_known_service (const fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  return mesh->config == NULL || strcmp (mesh->service, report->service) == 0
+         || fq_config_find_service (mesh->config, report->service) != NULL;
+}
+
 void
 fq_server_state_handle_report (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
   bool is_first;
 
+  if (!is_of_known_service (mesh, report))
+    {
+      fq_mesh_log (mesh, true, "event=report-refused instance=%s unknown_service=%s",
+                   report->instance, report->service);
+      return;
+    }
   if (is_stale (gate, report))
     {
       mesh->metrics.counters[FQ_METRIC_STALE_REPORTS]++;
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -152,6 +152,37 @@
 }
 END_TEST
 
+/* Guards against a finding of the review: one report with a service that no configuration
+ * names replaced the service of the machine, which its requests state as their caller,
+ * and took its server out of use. */
+START_TEST (test_report_of_unknown_service_changes_nothing)
+{
+  fq_mesh_event_t foreign = { .kind = FQ_MESH_EVENT_REPORT };
+
+  fleet_kill (&fleet, 2);
+  fleet_kill (&fleet, 3);
+  strcpy (foreign.report.instance, "i-foreign");
+  strcpy (foreign.report.service, "nobody");
+  foreign.report.started_ms = 9000;
+  foreign.report.sequence = 1;
+  foreign.report.slots = 10;
+  for (size_t node = 0; node < 2; node++)
+    fleet_feed (&fleet, node, &foreign);
+  fleet_advance (&fleet, 10);
+  fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_uint_eq (fleet.run_count, 1);
+  ck_assert_str_eq (fleet.runs[0].caller, "front");
+  ck_assert_str_eq (fleet.runs[0].instance, "i-1");
+  /* The server itself goes on as before. */
+  fleet_report (&fleet, 1, "i-1", 1000, true);
+  fleet_advance (&fleet, 2500);
+  fleet_send_request (&fleet, 0, "/safe/1", "r2", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_uint_eq (fleet.run_count, 1);
+}
+END_TEST
+
 /* Crashes the server of @run: its connection breaks, the next one is refused, and the
  * server comes up again. */
 static void
@@ -320,6 +351,7 @@
   tcase_add_test (tcase, test_delayed_report_to_restarted_node_is_not_trusted);
   tcase_add_test (tcase,
                   test_first_report_to_restarted_node_is_confirmed_by_health_check);
+  tcase_add_test (tcase, test_report_of_unknown_service_changes_nothing);
   tcase_add_test (tcase, test_request_that_crashes_servers_is_quarantined);
   tcase_add_test (tcase, test_internal_calls_of_a_retry_are_retries_and_rank_first);
   tcase_add_loop_test (tcase,
