Use the connection of a health check for nothing else

Cause: health checks had no match for their answers, so that their connection was kept.

Change: their answers count as unnamed, after which a connection is closed.

Test that failed before: test_second_answer_to_health_check_is_no_answer_to_a_request.

--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -155,6 +155,16 @@
   fq_http_message_unref (request);
 }
 
+/* Not every answer to a health check names what it answers, so its connection is not used
+ * again: a second copy could be taken for the answer to the next request. */
+static fq_http_match_t
+match_probe_answer (void *context, const fq_http_message_t *answer)
+{
+  (void)context;
+  (void)answer;
+  return FQ_HTTP_MATCH_UNNAMED;
+}
+
 static void
 on_probe_answered (void *context, fq_http_message_t *answer)
 {
@@ -184,6 +194,7 @@
 }
 
 static const fq_http_call_handlers_t probe_handlers = {
+  .match_answer = match_probe_answer,
   .answered = on_probe_answered,
   .failed = on_probe_failed,
 };
--- /dev/null
+++ b/tests/node/test_server_calls.c
@@ -0,0 +1,183 @@
+/**
+ * DOC: Tests of calls and health checks to the local server, against a server on a socket
+ * that answers one of them twice.
+ */
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node/event_log.h"
+#include "node/server_calls.h"
+
+#define MEMORY_BYTES (64u << 20)
+#define STEP_SECONDS 0.1
+
+/* A full server rejects a health check like any other request, without an id. */
+static const char rejection[] = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: "
+                                "1\r\nContent-Length: 0\r\n\r\n";
+
+static struct ev_loop *loop;
+static fq_io_t io;
+static int listener;
+static fq_server_calls_t *calls;
+static int probed_count;
+static int answered_count;
+static int failed_count;
+
+static void
+on_answered (void *context,
+             fq_id_t run,
+             fq_server_outcome_t outcome,
+             const fq_server_notice_t *notice,
+             fq_http_message_t *answer)
+{
+  (void)context;
+  (void)run;
+  (void)outcome;
+  (void)notice;
+  (void)answer;
+  answered_count++;
+}
+
+static void
+on_failed (void *context, fq_id_t run, fq_server_failure_t failure)
+{
+  (void)context;
+  (void)run;
+  (void)failure;
+  failed_count++;
+}
+
+static void
+on_probed (void *context,
+           fq_probe_outcome_t outcome,
+           const char *instance,
+           const fq_server_notice_t *notice)
+{
+  (void)context;
+  (void)instance;
+  (void)notice;
+  ck_assert_int_eq (outcome, FQ_PROBE_UNHEALTHY);
+  probed_count++;
+}
+
+static const fq_server_calls_handlers_t handlers
+    = { .answered = on_answered, .failed = on_failed, .probed = on_probed };
+
+static void
+setup (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  char text[FQ_ADDRESS_BYTES];
+
+  loop = ev_loop_new (EVFLAG_AUTO);
+  ck_assert_int_eq (fq_io_open (&io, loop), 0);
+  listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&address, size), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  ck_assert_int_eq (getsockname (listener, (struct sockaddr *)&address, &size), 0);
+  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (address.sin_port));
+  ck_assert_int_eq (
+      fq_server_calls_open (&calls, &io, text, MEMORY_BYTES, &handlers, NULL), 0);
+}
+
+static void
+teardown (void)
+{
+  fq_server_calls_close (calls);
+  ev_run (loop, EVRUN_NOWAIT);
+  fq_io_close (&io);
+  ev_loop_destroy (loop);
+  close (listener);
+}
+
+static void
+on_step (struct ev_loop *running, ev_timer *timer, int events)
+{
+  (void)timer;
+  (void)events;
+  ev_break (running, EVBREAK_ALL);
+}
+
+static void
+run_step (void)
+{
+  ev_timer timer;
+
+  ev_now_update (loop);
+  ev_timer_init (&timer, on_step, STEP_SECONDS, 0.);
+  ev_timer_start (loop, &timer);
+  ev_run (loop, 0);
+  ev_timer_stop (loop, &timer);
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+}
+
+static void
+start_call (void)
+{
+  fq_mesh_effect_t effect = { .kind = FQ_MESH_EFFECT_SERVER_CALL };
+
+  effect.server_call.run = 1;
+  effect.server_call.remaining_ms = 1000;
+  effect.server_call.message = fq_http_message_new ();
+  strcpy (effect.server_call.message->method, "POST");
+  effect.server_call.message->target = strdup ("/once/1");
+  strcpy (effect.server_call.request_id, "r1");
+  strcpy (effect.server_call.instance, "i-1");
+  strcpy (effect.server_call.caller, "front");
+  fq_server_calls_start (calls, &effect);
+  fq_http_message_unref (effect.server_call.message);
+}
+
+/* Guards against a finding of the review: the second copy of an answer to a health check,
+ * late on a kept connection, became the answer to the request there, which ran. */
+START_TEST (test_second_answer_to_health_check_is_no_answer_to_a_request)
+{
+  int fd;
+
+  fq_server_calls_probe (calls, "/health");
+  run_step ();
+  fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  send_text (fd, rejection);
+  run_step ();
+  ck_assert_int_eq (probed_count, 1);
+  start_call ();
+  run_step ();
+  /* The connection may be gone. */
+  (void)!send (fd, rejection, strlen (rejection), MSG_NOSIGNAL);
+  run_step ();
+  ck_assert_int_eq (answered_count, 0);
+  ck_assert_int_eq (failed_count, 0);
+  close (fd);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("server-calls");
+  TCase *tcase = tcase_create ("server-calls");
+  SRunner *runner = srunner_create (suite);
+  int failures;
+
+  suite_add_tcase (suite, tcase);
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_second_answer_to_health_check_is_no_answer_to_a_request);
+  srunner_run_all (runner, CK_NORMAL);
+  failures = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
