Don't let two late reports outweigh the health check after a restart

Cause: after a restart a second report confirmed the first one, whatever the health check had said. Both can be late when no other node remembers the drain.

Change: where the health check of the same start contradicts the reports, they count only 6 s after the start of the node, when none can be from before; until then each asks the health check again.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -235,6 +235,8 @@
       if (event->probe.outcome == FQ_PROBE_HEALTHY)
         fq_server_state_probe_succeeded (mesh, event->probe.instance,
                                          &event->probe.notice);
+      else if (event->probe.outcome == FQ_PROBE_UNHEALTHY)
+        fq_server_state_probe_contradicted (mesh, event->probe.instance);
       fq_server_crash_probed (mesh, event->probe.outcome, event->probe.instance);
       break;
     case FQ_MESH_EVENT_CONFIG:
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -171,6 +171,7 @@
   uint32_t rate_unstated;      /* answers since then that did not */
   bool probed;                 /* a probe for the server's health and instance was sent */
   bool confirmed; /* the server is known to be ready: by a probe or a second report */
+  bool unhealthy; /* its health check contradicted its reports */
   fq_time_t answered_at; /* when the server answered a run last */
   fq_time_t drain_until; /* 0: it does not drain */
   fq_timer_entry_t timer;
@@ -429,6 +430,10 @@
                                       const char *instance,
                                       const fq_server_notice_t *notice);
 
+/** fq_server_state_probe_contradicted() - @instance answered a health check, but is not
+ * healthy. */
+void fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance);
+
 /** fq_server_state_begin_drain() - the server is leaving: it gets new requests only until
  * the drain ends. Repeated calls change nothing. */
 void fq_server_state_begin_drain (fq_mesh_t *mesh, const char *reason);
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -6,7 +6,8 @@
  * later, possibly delayed or reordered, do not change that. After a restart the node no
  * longer knows that its server drains, and the first report that it receives may be a
  * delayed one. It therefore confirms that report with a health check, or by a second
- * report, before the server counts as ready.
+ * report, before the server counts as ready. Where the health check contradicts the
+ * reports, they count only when none can be a delayed one any more.
  */
 #include <string.h>
 
@@ -22,6 +23,9 @@
 /* Missed reports in a row after which a server that answers no requests is absent. */
 #define FQ_REPORTS_MISSED_MAX 3
 
+/* After the start of this node, no report that arrives is from before it. */
+#define FQ_REPORTS_LATE_US (6 * FQ_MICROSECONDS_PER_SECOND)
+
 void
 fq_server_state_broadcast (fq_mesh_t *mesh)
 {
@@ -171,6 +175,7 @@
   gate->server.started_ms = report->started_ms;
   gate->server_generation++;
   gate->drain_until = 0;
+  gate->unhealthy = false;
   fq_server_notice_forget (mesh);
   apply_recalled (mesh);
 }
@@ -192,6 +197,20 @@
          || fq_config_find_service (mesh->config, report->service) != NULL;
 }
 
+/* Whether the health check says that the server is not ready, and its reports that say
+ * otherwise may be from before the start of this node. Asks it again. */
+static bool
+is_contradicted (fq_mesh_t *mesh)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (gate->confirmed || !gate->unhealthy
+      || mesh->now - mesh->started >= FQ_REPORTS_LATE_US)
+    return false;
+  gate->probed = false;
+  return true;
+}
+
 void
 fq_server_state_handle_report (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
@@ -237,7 +256,7 @@
    * process. */
   if (is_first)
     gate->probed = false;
-  else
+  else if (!is_contradicted (mesh))
     gate->confirmed = true;
   if (!gate->confirmed)
     fq_server_state_probe_if_uncertain (mesh);
@@ -323,6 +342,13 @@
     fq_server_notice_record (mesh, notice);
 }
 
+void
+fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance)
+{
+  if (strcmp (mesh->gate.server.instance, instance) == 0)
+    mesh->gate.unhealthy = true;
+}
+
 void
 fq_server_state_probe_succeeded (fq_mesh_t *mesh,
                                  const char *instance,
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -116,6 +116,67 @@
 }
 END_TEST
 
+static void
+report_late (size_t node, uint64_t sequence)
+{
+  fq_mesh_event_t report = { .kind = FQ_MESH_EVENT_REPORT };
+
+  strcpy (report.report.instance, "i-1");
+  strcpy (report.report.service, "back");
+  report.report.started_ms = 1000;
+  report.report.sequence = sequence;
+  report.report.slots = 10;
+  fleet_feed (&fleet, node, &report);
+}
+
+/* Guards against a finding of the review: all nodes are restarted while a server drains,
+ * so that none remembers it, and two reports from before the drain arrive late. The
+ * second one made the server ready, although its health check said otherwise. */
+START_TEST (test_late_reports_after_restart_of_all_nodes_are_not_trusted)
+{
+  static const uint32_t late_ms[][2] = { { 100, 200 }, { 300, 2000 }, { 2000, 4000 } };
+
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    fleet_report (&fleet, node, "i-1", 1000, true);
+  fleet_advance (&fleet, 300);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    fleet_kill (&fleet, node);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    fleet_start (&fleet, node);
+  fleet_advance (&fleet, late_ms[_i][0]);
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    report_late (node, 1);
+  fleet_advance (&fleet, late_ms[_i][1] - late_ms[_i][0]);
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    report_late (node, 2);
+  fleet_advance (&fleet, 10);
+  fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
+  fleet_advance (&fleet, 100);
+  ck_assert_uint_eq (fleet.run_count, 0);
+}
+END_TEST
+
+/* A server whose health check says no although it works is used again some seconds after
+ * the restart of its node, when no report can be late any more. */
+START_TEST (test_server_with_bad_health_check_is_used_after_a_restart)
+{
+  fleet_kill (&fleet, 2);
+  fleet_kill (&fleet, 3);
+  fleet_kill (&fleet, 1);
+  fleet.nodes[1].draining = true; /* it is not; only its health check says so */
+  fleet_start (&fleet, 1);
+  for (uint64_t sequence = 1; sequence <= 6; sequence++)
+    {
+      fleet_advance (&fleet, 1500);
+      report_late (1, sequence);
+    }
+  fleet_advance (&fleet, 10);
+  fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_uint_eq (fleet.run_count, 1);
+}
+END_TEST
+
 /* A restarted node whose server does not drain: the first report is confirmed by a health
  * check, and the second report is not needed. */
 START_TEST (test_first_report_to_restarted_node_is_confirmed_by_health_check)
@@ -349,6 +410,9 @@
   tcase_add_test (tcase, test_deregistration_before_first_report_is_recorded);
   tcase_add_test (tcase, test_delayed_report_does_not_restore_older_process);
   tcase_add_test (tcase, test_delayed_report_to_restarted_node_is_not_trusted);
+  tcase_add_loop_test (
+      tcase, test_late_reports_after_restart_of_all_nodes_are_not_trusted, 0, 3);
+  tcase_add_test (tcase, test_server_with_bad_health_check_is_used_after_a_restart);
   tcase_add_test (tcase,
                   test_first_report_to_restarted_node_is_confirmed_by_health_check);
   tcase_add_test (tcase, test_report_of_unknown_service_changes_nothing);
