Give the servers of test_limited_server_gets_more_than_it_stated work for both

Cause, of the test: at 20 ms a request 0.8 of 38 slots are in use, and each server alone has room; the balancer then prefers the one that it measures as faster, whichever that is beside other load.

Change: 350 ms a request, so that each server alone would be nearly full. The bounds are the same.

--- a/tests/process/test_limited_server_gets_more_than_it_stated.sh
+++ b/tests/process/test_limited_server_gets_more_than_it_stated.sh
@@ -4,9 +4,11 @@
 # shellcheck source-path=SCRIPTDIR
 . "$(dirname "$0")/node_lib.sh"
 
+# So long that each server alone would be nearly full: below that the balancer may prefer either.
+work_ms=350
 limit=10
 allowed=$((limit * 4 * 3 / 2 + 5)) # in 4 s: one and a half times the limit, and 5 requests
-start_two_fronts_and_backs 20
+start_two_fronts_and_backs "$work_ms"
 
 offer_load 1 a 13 40 &
 offer_load 4 b 13 40 &
