Don't take a server for silent when its node stood still

It had not run, but its server was there.

Change: a check for reports that itself comes over 200 ms late is made again an interval later, as checks of gates are. Only a replacement refuses granted requests; when the server is absent they are checked as before when the request comes.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -487,18 +487,31 @@
   fq_gate_start_queued (mesh);
 }
 
-void
-fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause)
+/* Refuses all runs that have not got further than @last. */
+static void
+refuse_up_to (fq_mesh_t *mesh, fq_run_stage_t last, fq_gate_cause_t cause)
 {
   FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
   {
     fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
 
-    if (run->stage != FQ_STAGE_RUNNING)
+    if (run->stage <= last)
       refuse_run (mesh, run, cause, false);
   }
 }
 
+void
+fq_gate_refuse_queued (fq_mesh_t *mesh, fq_gate_cause_t cause)
+{
+  refuse_up_to (mesh, FQ_STAGE_WAITING, cause);
+}
+
+void
+fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause)
+{
+  refuse_up_to (mesh, FQ_STAGE_GRANTED, cause);
+}
+
 static void
 finish_answered (fq_mesh_t *mesh, fq_gate_run_t *run, fq_http_message_t *answer)
 {
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -28,6 +28,10 @@
 /** FQ_ENTRY_CONNECTION_SELF - connection id of this node's own entry at its gate. */
 #define FQ_ENTRY_CONNECTION_SELF 1
 
+/** FQ_CHECK_LATE_US - a check that comes later than this after it was due was held up on
+ * this VM, and says nothing of the peer, whose messages may be waiting. */
+#define FQ_CHECK_LATE_US (200 * FQ_MICROSECONDS_PER_MS)
+
 #define FQ_TRIED_MAX 8 /* gates of earlier attempts that an exchange records */
 
 /** enum fq_mesh_timer_t - kind of a timer. */
@@ -127,7 +131,7 @@
   size_t tried_count;
 } fq_exchange_t;
 
-/** enum fq_run_stage_t - state of a run. */
+/** enum fq_run_stage_t - state of a run, in the order in which a run gets there. */
 typedef enum
 {
   FQ_STAGE_HELD,    /* a crash suspect; waits for another one to end */
@@ -384,6 +388,10 @@
 
 void fq_gate_handle_run_timer (fq_mesh_t *mesh, fq_gate_run_t *run);
 
+/** fq_gate_refuse_queued() - refuse all runs that wait. A granted one is checked again
+ * when its request comes; the server may be back by then. */
+void fq_gate_refuse_queued (fq_mesh_t *mesh, fq_gate_cause_t cause);
+
 /** fq_gate_refuse_unstarted() - refuse all runs that were not sent to the server, also
  * granted ones: what was decided for this server does not hold for the next. */
 void fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause);
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -13,10 +13,7 @@
 #define FQ_RECONNECT_DOUBLINGS 4
 #define FQ_PING_IDLE_US (250 * FQ_MICROSECONDS_PER_MS)    /* silence before a ping */
 #define FQ_PONG_TIMEOUT_US (650 * FQ_MICROSECONDS_PER_MS) /* then the gate is lost */
-/* A check that comes later than this was held up on this VM, and says nothing of the
- * gate, whose frames may be waiting. */
-#define FQ_CHECK_LATE_US (200 * FQ_MICROSECONDS_PER_MS)
-#define FQ_NODE_SAMPLE_MAX 32 /* in a HELLO or WELCOME */
+#define FQ_NODE_SAMPLE_MAX 32                             /* in a HELLO or WELCOME */
 
 /* Failed connections in a row after which a node is removed from the directory. */
 #define FQ_CONNECT_FAILURES_MAX 600
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -60,7 +60,7 @@
   if (phase == FQ_PHASE_READY)
     fq_server_crash_ready (mesh);
   if (phase == FQ_PHASE_ABSENT)
-    fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
+    fq_gate_refuse_queued (mesh, FQ_GATE_CAUSE_NO_SERVER);
   fq_server_state_broadcast (mesh);
 }
 
@@ -431,7 +431,8 @@
       fq_server_state_mark_absent (mesh, "drained");
       return;
     }
-  if (mesh->now - gate->answered_at < interval)
+  if (mesh->now - gate->answered_at < interval
+      || mesh->now - gate->timer.when > FQ_CHECK_LATE_US)
     {
       arm_report_timer (mesh);
       return;
--- a/src/mesh/stopping.c
+++ b/src/mesh/stopping.c
@@ -28,7 +28,7 @@
     {
       mesh->gate_closed = true;
       fq_server_state_broadcast (mesh);
-      fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
+      fq_gate_refuse_queued (mesh, FQ_GATE_CAUSE_NO_SERVER);
     }
   if ((idle && mesh->gate_closed) || elapsed >= grace - FQ_STOP_MARGIN_US)
     {
--- a/tests/mesh/test_pauses.c
+++ b/tests/mesh/test_pauses.c
@@ -101,6 +101,28 @@
 }
 END_TEST
 
+/* The server went on reporting while its node stood still. The reports wait behind the
+ * timer that finds them overdue, and behind the request itself. */
+START_TEST (test_server_is_not_taken_for_silent_after_a_pause)
+{
+  fq_mesh_event_t timer = { .kind = FQ_MESH_EVENT_TIMER };
+
+  fleet_advance (&fleet, 3000);
+  offer_for_grant ();
+  pause_all (800);
+  fleet_feed (&fleet, 1, &timer);
+  pause_all (1500);
+  fleet_feed (&fleet, 1, &timer);
+  fleet_offer (&fleet, 1, "next", true);
+  ck_assert_uint_eq (active_runs (1), 1);
+  /* Without any report for as long as before, it is. */
+  fleet_answer (&fleet, fleet_find_active_run (&fleet, "next"), FQ_SERVER_ANSWERED, 200);
+  fleet_advance (&fleet, 7000);
+  fleet_offer (&fleet, 1, "last", true);
+  ck_assert_uint_eq (active_runs (1), 0);
+}
+END_TEST
+
 /* Guards against a finding of the review: a gate that wakes from a pause grants an offer
  * for its old server, then hears of the server that has its address now, and sent the
  * request to that one, which may be of another service. */
@@ -214,6 +236,7 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, test_request_whose_wait_is_over_does_not_start_after_a_pause);
   tcase_add_test (tcase, test_expired_grant_is_not_used_after_a_pause);
+  tcase_add_test (tcase, test_server_is_not_taken_for_silent_after_a_pause);
   tcase_add_loop_test (tcase, test_grant_is_not_used_for_the_next_server, 0, 2);
   tcase_add_test (tcase, test_work_of_a_gate_that_is_silent_for_a_while_is_not_given_up);
   tcase_add_test (tcase, test_silent_gate_gets_no_requests_until_it_answers);
