Blame a crash on one request alone only if its run started isolated

Found by reading: all servers of a service are lost within a moment for a cause of their own, while the same request runs at each. After the second loss it was isolated at all nodes, the third loss was blamed on it alone, and it was refused for 600 s though it did nothing.

Change: only a run that started when its request was isolated, beside which no other isolated one ran, counts as alone. A request that crashes servers gets one more run in that case, and is refused then.

Tests: test_request_that_ran_when_all_servers_were_lost_is_served failed before (1 of 2 rows, the losses 50 ms apart); test_one_isolated_loss_comes_first.

--- a/src/mesh/crash_suspects.c
+++ b/src/mesh/crash_suspects.c
@@ -131,12 +131,16 @@
 }
 
 void
-fq_recent_losses_add (fq_recent_losses_t *losses, fq_time_t now, uint64_t fingerprint)
+fq_recent_losses_add (fq_recent_losses_t *losses,
+                      fq_time_t now,
+                      uint64_t fingerprint,
+                      bool isolated)
 {
   if (losses->count < FQ_RECENT_LOSSES_MAX)
     losses->count++;
   losses->lost[losses->next].fingerprint = fingerprint;
   losses->lost[losses->next].at = now;
+  losses->lost[losses->next].isolated = isolated;
   losses->next = (losses->next + 1) % FQ_RECENT_LOSSES_MAX;
 }
 
@@ -152,34 +156,43 @@
     }
 }
 
-static bool
-contains (const uint64_t *fingerprints, size_t count, uint64_t fingerprint)
+/* Returns @count if it is not there. */
+static size_t
+find_fingerprint (const uint64_t *fingerprints, size_t count, uint64_t fingerprint)
 {
-  for (size_t i = 0; i < count; i++)
-    {
-      if (fingerprints[i] == fingerprint)
-        return true;
-    }
-  return false;
+  size_t i = 0;
+
+  while (i < count && fingerprints[i] != fingerprint)
+    i++;
+  return i;
 }
 
 size_t
 fq_recent_losses_take (fq_recent_losses_t *losses,
                        fq_time_t now,
                        fq_time_t window,
-                       uint64_t *out)
+                       uint64_t *out,
+                       bool *alone)
 {
   size_t count = 0;
+  size_t isolated = 0; /* these are the first ones in @out */
 
   losses->count = 0;
   for (size_t i = 0; i < FQ_RECENT_LOSSES_MAX; i++)
     {
       uint64_t fingerprint = losses->lost[i].fingerprint;
+      size_t at = find_fingerprint (out, count, fingerprint);
 
       losses->lost[i].fingerprint = 0;
-      if (fingerprint != 0 && now - losses->lost[i].at < window
-          && !contains (out, count, fingerprint))
+      if (fingerprint == 0 || now - losses->lost[i].at >= window)
+        continue;
+      if (at == count)
         out[count++] = fingerprint;
+      if (!losses->lost[i].isolated || at < isolated)
+        continue;
+      out[at] = out[isolated];
+      out[isolated++] = fingerprint;
     }
+  *alone = isolated == 1;
   return count;
 }
--- a/src/mesh/crash_suspects.h
+++ b/src/mesh/crash_suspects.h
@@ -9,7 +9,9 @@
  * FQ_CRASHES_ISOLATED crashes is therefore isolated: no gate runs two of those at the
  * same time. The next crash is then blamed on the isolated request alone, and one that
  * did nothing is answered and cleared. A request is refused once it is suspected of
- * FQ_CRASHES_REFUSED crashes, of at least one alone.
+ * FQ_CRASHES_REFUSED crashes, of at least one alone. Only a run that started when its
+ * request was isolated counts for that: servers that are lost at the same time for
+ * another cause are several crashes for whatever ran at them.
  *
  * Suspects, and that they are cleared, are told to all connected entries, since the
  * client may send the request again through another node.
@@ -90,14 +92,21 @@
   {
     uint64_t fingerprint; /* 0: unused */
     fq_time_t at;
+    bool isolated; /* it was isolated when it started */
   } lost[FQ_RECENT_LOSSES_MAX];
   size_t next;
   size_t count; /* losses in @lost */
 } fq_recent_losses_t;
 
-/** fq_recent_losses_add() - the server connection of a run broke without an answer. */
-void
-fq_recent_losses_add (fq_recent_losses_t *losses, fq_time_t now, uint64_t fingerprint);
+/**
+ * fq_recent_losses_add() - the server connection of a run broke without an answer.
+ * @isolated: its request was isolated when the run started, so that no other isolated one
+ * ran beside it
+ */
+void fq_recent_losses_add (fq_recent_losses_t *losses,
+                           fq_time_t now,
+                           uint64_t fingerprint,
+                           bool isolated);
 
 /** fq_recent_losses_forget() - drop the losses before @alive_at, when the server was
  * still running. */
@@ -108,12 +117,14 @@
  * crashed.
  * @window: older losses are dropped, microseconds
  * @out: room for FQ_RECENT_LOSSES_MAX fingerprints
+ * @alone: receives whether exactly one of these requests was isolated; it is the first
  *
  * Return: number of fingerprints in @out, each once.
  */
 size_t fq_recent_losses_take (fq_recent_losses_t *losses,
                               fq_time_t now,
                               fq_time_t window,
-                              uint64_t *out);
+                              uint64_t *out,
+                              bool *alone);
 
 #endif
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -189,6 +189,8 @@
   fq_time_t left = run->deadline - mesh->now;
 
   run->stage = FQ_STAGE_RUNNING;
+  run->isolated
+      = fq_crash_suspects_is_isolated (&mesh->crash_suspects, run->offer.fingerprint);
   run->started = mesh->now;
   run->server_generation = mesh->gate.server_generation;
   if (fq_map_set (&mesh->gate.runs_by_request, fq_map_hash (run->offer.request_id), run)
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -156,6 +156,7 @@
   fq_time_t deadline;
   fq_time_t started;
   uint64_t server_generation; /* of the process that it was sent to */
+  bool isolated;              /* its request was, when it was sent */
   fq_gate_queue_entry_t queue_entry;
   fq_timer_entry_t timer;
   fq_list_t link; /* in the runs of the gate */
--- a/src/mesh/server_crash.c
+++ b/src/mesh/server_crash.c
@@ -9,8 +9,8 @@
  * platform does after it has stopped the server.
  *
  * The requests whose connections broke since the server last gave an answer are suspected
- * then; if exactly one of them is isolated, it alone. Suspects go to all connected
- * entries, so that a request that crashes servers is refused there too.
+ * then; if exactly one of them was isolated when it started, it alone. Suspects go to all
+ * connected entries, so that a request that crashes servers is refused there too.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -96,30 +96,11 @@
                  suspect->count, suspect->alone);
 }
 
-/* If exactly one of the requests is isolated, moves it to the front. */
-static bool
-is_one_isolated (const fq_mesh_t *mesh, uint64_t *fingerprints, size_t count)
-{
-  size_t isolated = 0;
-
-  for (size_t i = 0; i < count; i++)
-    {
-      uint64_t fingerprint = fingerprints[i];
-
-      if (!fq_crash_suspects_is_isolated (&mesh->crash_suspects, fingerprint))
-        continue;
-      isolated++;
-      fingerprints[i] = fingerprints[0];
-      fingerprints[0] = fingerprint;
-    }
-  return isolated == 1;
-}
-
+/* @alone: only the first one is suspected */
 static void
-suspect_requests (fq_mesh_t *mesh, uint64_t *fingerprints, size_t count)
+suspect_requests (fq_mesh_t *mesh, const uint64_t *fingerprints, size_t count, bool alone)
 {
   uint64_t crash = mesh->gate.crash;
-  bool alone = is_one_isolated (mesh, fingerprints, count);
 
   if (alone)
     count = 1;
@@ -134,8 +115,9 @@
 {
   fq_gate_t *gate = &mesh->gate;
   uint64_t fingerprints[FQ_RECENT_LOSSES_MAX];
+  bool alone;
   size_t count = fq_recent_losses_take (&gate->recent_losses, mesh->now,
-                                        FQ_LOSS_WINDOW_US, fingerprints);
+                                        FQ_LOSS_WINDOW_US, fingerprints, &alone);
 
   fq_timers_cancel (&mesh->timers, &gate->crash_timer);
   if (!may_have_crashed (mesh))
@@ -150,7 +132,7 @@
   fq_mesh_log (mesh, true,
                "event=server-crash instance=%s crash=%016llx reason=%s blamed=%zu",
                gate->server.instance, (unsigned long long)gate->crash, reason, count);
-  suspect_requests (mesh, fingerprints, count);
+  suspect_requests (mesh, fingerprints, count, alone);
 }
 
 void
@@ -219,12 +201,12 @@
   /* The crash of the process that it was sent to has been found already. */
   if (is_crash_known (gate, run->server_generation))
     {
-      suspect_requests (mesh, &fingerprint, 1);
+      suspect_requests (mesh, &fingerprint, 1, run->isolated);
       return;
     }
   if (run->server_generation != gate->server_generation || !may_have_crashed (mesh))
     return;
-  fq_recent_losses_add (&gate->recent_losses, mesh->now, fingerprint);
+  fq_recent_losses_add (&gate->recent_losses, mesh->now, fingerprint, run->isolated);
   begin_checks (mesh);
 }
 
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -199,25 +199,56 @@
 {
   fq_recent_losses_t losses = { 0 };
   uint64_t lost[FQ_RECENT_LOSSES_MAX];
-
-  fq_recent_losses_add (&losses, 0, 1);
-  fq_recent_losses_add (&losses, 10 * SECOND, 2);
-  fq_recent_losses_add (&losses, 10 * SECOND, 3);
-  fq_recent_losses_add (&losses, 10 * SECOND, 3);
-  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost),
-                     2);
-  ck_assert_uint_eq (fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost),
-                     0);
+  bool alone;
+
+  fq_recent_losses_add (&losses, 0, 1, true);
+  fq_recent_losses_add (&losses, 10 * SECOND, 2, false);
+  fq_recent_losses_add (&losses, 10 * SECOND, 3, false);
+  fq_recent_losses_add (&losses, 10 * SECOND, 3, false);
+  ck_assert_uint_eq (
+      fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost, &alone), 2);
+  ck_assert (!alone);
+  ck_assert_uint_eq (
+      fq_recent_losses_take (&losses, 10 * SECOND + MS, 5 * SECOND, lost, &alone), 0);
   /* Losses from before the server was still seen to run. */
-  fq_recent_losses_add (&losses, 20 * SECOND, 4);
-  fq_recent_losses_add (&losses, 21 * SECOND, 5);
+  fq_recent_losses_add (&losses, 20 * SECOND, 4, false);
+  fq_recent_losses_add (&losses, 21 * SECOND, 5, false);
   fq_recent_losses_forget (&losses, 20 * SECOND + MS);
   ck_assert_uint_eq (losses.count, 1);
-  ck_assert_uint_eq (fq_recent_losses_take (&losses, 21 * SECOND, 5 * SECOND, lost), 1);
+  ck_assert_uint_eq (
+      fq_recent_losses_take (&losses, 21 * SECOND, 5 * SECOND, lost, &alone), 1);
   ck_assert_uint_eq (lost[0], 5);
 }
 END_TEST
 
+START_TEST (test_one_isolated_loss_comes_first)
+{
+  /* Fingerprints in the order of their losses; an isolated one is negative. */
+  static const struct
+  {
+    int lost[4];
+    size_t count;
+    uint64_t first;
+    bool alone;
+  } cases[] = {
+    { { 1, 2, 3, 4 }, 4, 1, false },   { { 1, 2, -3, 4 }, 4, 3, true },
+    { { 1, 3, -3, 3 }, 2, 3, true },   { { -3, 1, 2, -3 }, 3, 3, true },
+    { { -3, 1, -2, 1 }, 3, 3, false }, { { -1, -1, -1, -1 }, 1, 1, true },
+  };
+  fq_recent_losses_t losses = { 0 };
+  uint64_t lost[FQ_RECENT_LOSSES_MAX];
+  bool alone;
+
+  for (size_t i = 0; i < 4; i++)
+    fq_recent_losses_add (&losses, SECOND, (uint64_t)abs (cases[_i].lost[i]),
+                          cases[_i].lost[i] < 0);
+  ck_assert_uint_eq (fq_recent_losses_take (&losses, SECOND, SECOND, lost, &alone),
+                     cases[_i].count);
+  ck_assert_uint_eq (lost[0], cases[_i].first);
+  ck_assert_int_eq (alone, cases[_i].alone);
+}
+END_TEST
+
 START_TEST (test_queue_starts_by_rank_with_a_share_for_new_requests)
 {
   /* Ranks in order of arrival, and the indices in the order in which they start: first
@@ -526,6 +557,7 @@
   tcase_add_test (tcase, test_crash_counts_once_for_each_suspect);
   tcase_add_test (tcase, test_suspect_is_refused_only_after_a_crash_alone);
   tcase_add_test (tcase, test_crash_suspects_only_recent_losses);
+  tcase_add_loop_test (tcase, test_one_isolated_loss_comes_first, 0, 6);
   tcase_add_test (tcase, test_queue_starts_by_rank_with_a_share_for_new_requests);
   tcase_add_test (tcase, test_expected_wait_counts_requests_queued_ahead);
   tcase_add_test (tcase, test_internal_calls_wait_briefly_beside_long_requests);
--- a/tests/mesh/test_server_crash.c
+++ b/tests/mesh/test_server_crash.c
@@ -295,6 +295,39 @@
 }
 END_TEST
 
+/* All servers of the service are lost at the same moment, for a cause of their own, while
+ * the same request runs at each: it ran in three crashes, and nothing else did. */
+START_TEST (test_request_that_ran_when_all_servers_were_lost_is_served)
+{
+  bool at[FLEET_NODES] = { true };
+  fq_id_t id;
+
+  while (!at[1] || !at[2] || !at[3])
+    {
+      send_other (1, "other");
+      fleet_advance (&fleet, 10);
+      at[fleet.runs[fleet.run_count - 1].node] = true;
+    }
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    {
+      crash_server (node, EVIDENCE_REFUSED);
+      fleet_advance (&fleet, _i == 0 ? 0 : 50);
+    }
+  fleet_advance (&fleet, 300);
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    start_server (node, EVIDENCE_REFUSED);
+  fleet_advance (&fleet, 300);
+  id = send_other (1, "other");
+  answer_others (500);
+  ck_assert_uint_eq (fleet_find_reply (&fleet, id)->status, 200);
+  /* It is no suspect any more. */
+  id = fleet_send_request (&fleet, 0, "/once/1", "other", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_ptr_nonnull (fleet_find_active_run (&fleet, "other"));
+  ck_assert_ptr_null (fleet_find_reply (&fleet, id));
+}
+END_TEST
+
 /** end_t - how a server ends, or only a connection to it, without a crash. */
 typedef enum
 {
@@ -433,6 +466,8 @@
   tcase_add_loop_test (
       tcase, test_requests_beside_a_crash_are_served_when_they_come_again, 0, 2);
   tcase_add_test (tcase, test_request_beside_three_crashes_at_once_is_served);
+  tcase_add_loop_test (tcase, test_request_that_ran_when_all_servers_were_lost_is_served,
+                       0, 2);
   tcase_add_loop_test (tcase, test_nobody_is_blamed_for_a_server_that_ends_on_purpose, 0,
                        END_COUNT);
   tcase_add_test (tcase, test_answer_clears_suspect_at_all_nodes);
