Order the declarations of the gate, and send news of suspects as one frame

Read as a newcomer: the functions of isolation.c stood among those of gate.c, the probe of the server under server_notice.c; telling entries of suspects took seven arguments, now a frame. No change of behaviour: test_server_crash, test_mesh, test_mesh_server, test_pauses pass.

--- a/src/mesh/isolation.c
+++ b/src/mesh/isolation.c
@@ -5,8 +5,8 @@
  */
 #include "mesh/mesh_private.h"
 
-/* Part of the expected run time that has to be left when a held request starts. */
-#define FQ_HELD_RUN_SHARE 1.5
+/* Times the expected run time: what has to be left when a held request starts. */
+#define FQ_HELD_RUN_SPREAD 1.5
 
 static bool
 is_isolated (const fq_mesh_t *mesh, const fq_gate_run_t *run)
@@ -36,7 +36,7 @@
 fq_gate_hold (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
   fq_time_t expected = fq_gate_queue_expected_run (&mesh->gate.queue, run->offer.route);
-  fq_time_t latest = run->deadline - (fq_time_t)(FQ_HELD_RUN_SHARE * (double)expected);
+  fq_time_t latest = run->deadline - (fq_time_t)(FQ_HELD_RUN_SPREAD * (double)expected);
 
   run->stage = FQ_STAGE_HELD;
   mesh->gate.held++;
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -396,6 +396,14 @@
 /** fq_gate_refuse_unstarted() - refuse all runs that were not sent to the server, also
  * granted ones: what was decided for this server does not hold for the next. */
 void fq_gate_refuse_unstarted (fq_mesh_t *mesh, fq_gate_cause_t cause);
+bool fq_gate_accepts_requests (const fq_mesh_t *mesh);
+
+/** fq_gate_find_running() - the run of a request that is at the server; NULL: none. */
+fq_gate_run_t *fq_gate_find_running (const fq_mesh_t *mesh, const char *request_id);
+
+/** fq_gate_start_queued() - start the queued requests that have a slot now. */
+void fq_gate_start_queued (fq_mesh_t *mesh);
+void fq_gate_free_all (fq_mesh_t *mesh);
 
 /* isolation.c: runs that may crash the server. */
 
@@ -407,14 +415,6 @@
 
 /** fq_gate_next_released() - a run that is held and may run now; NULL: none. */
 fq_gate_run_t *fq_gate_next_released (const fq_mesh_t *mesh);
-bool fq_gate_accepts_requests (const fq_mesh_t *mesh);
-
-/** fq_gate_find_running() - the run of a request that is at the server; NULL: none. */
-fq_gate_run_t *fq_gate_find_running (const fq_mesh_t *mesh, const char *request_id);
-
-/** fq_gate_start_queued() - start the queued requests that have a slot now. */
-void fq_gate_start_queued (fq_mesh_t *mesh);
-void fq_gate_free_all (fq_mesh_t *mesh);
 
 /* gate_admission.c: whether a request is admitted, and how long it may wait. */
 
@@ -455,6 +455,10 @@
  * to be leaving. */
 fq_time_t fq_server_drain_end (const fq_mesh_t *mesh, fq_time_t since);
 
+/** fq_server_state_send_probe() - send a health check to the local server. Return:
+ * whether the configuration tells how. */
+bool fq_server_state_send_probe (fq_mesh_t *mesh);
+
 /** fq_server_state_probe_if_uncertain() - probe the local server if its state is
  * uncertain. */
 void fq_server_state_probe_if_uncertain (fq_mesh_t *mesh);
@@ -476,10 +480,6 @@
 /** fq_server_notice_forget() - another process took the place of the server. */
 void fq_server_notice_forget (fq_mesh_t *mesh);
 
-/** fq_server_state_send_probe() - send a health check to the local server. Return:
- * whether the configuration tells how. */
-bool fq_server_state_send_probe (fq_mesh_t *mesh);
-
 /* server_crash.c: crashes of the local server, and the requests suspected of them. */
 
 /** fq_server_crash_run_lost() - the server gave no complete answer to @run. */
--- a/src/mesh/metrics.h
+++ b/src/mesh/metrics.h
@@ -21,7 +21,7 @@
   FQ_METRIC_REPEATS,            /* repeats that this node's gate admitted */
   FQ_METRIC_RUNS,               /* requests sent to the local server */
   FQ_METRIC_LINKS_LOST,         /* established connections to gates that were lost */
-  FQ_METRIC_SERVER_CRASHES,     /* refused connections to a server that was believed up */
+  FQ_METRIC_SERVER_CRASHES,     /* crashes of the server that were found */
   FQ_METRIC_STALE_REPORTS,      /* status reports discarded as outdated */
   FQ_METRIC_CONFIGS,            /* configurations that came into force */
   FQ_METRIC_COUNT,
--- a/src/mesh/server_crash.c
+++ b/src/mesh/server_crash.c
@@ -44,38 +44,28 @@
   return gate->crash != 0 && gate->crashed_generation == generation;
 }
 
+/* @news: its fingerprints are copied */
 static void
-tell_entry (fq_mesh_t *mesh,
-            fq_id_t entry_connection,
-            fq_frame_kind_t kind,
-            uint64_t crash,
-            bool alone,
-            const uint64_t *fingerprints,
-            size_t count)
+tell_entry (fq_mesh_t *mesh, fq_id_t entry_connection, const fq_frame_t *news)
 {
-  fq_frame_t frame = { .kind = kind, .number = crash, .alone = alone };
+  size_t size = news->fingerprint_count * sizeof *news->fingerprints;
+  fq_frame_t frame = *news;
 
-  frame.fingerprints = malloc (count * sizeof *fingerprints);
+  frame.fingerprints = malloc (size);
   if (frame.fingerprints == NULL)
     abort ();
-  memcpy (frame.fingerprints, fingerprints, count * sizeof *fingerprints);
-  frame.fingerprint_count = count;
+  memcpy (frame.fingerprints, news->fingerprints, size);
   fq_mesh_send_to_entry (mesh, entry_connection, &frame);
 }
 
 static void
-tell_all_entries (fq_mesh_t *mesh,
-                  fq_frame_kind_t kind,
-                  uint64_t crash,
-                  bool alone,
-                  const uint64_t *fingerprints,
-                  size_t count)
+tell_all_entries (fq_mesh_t *mesh, const fq_frame_t *news)
 {
   size_t cursor = 0;
   const fq_entry_connection_t *entry_connection;
 
   while ((entry_connection = fq_map_next (&mesh->entry_connections, &cursor)) != NULL)
-    tell_entry (mesh, entry_connection->id, kind, crash, alone, fingerprints, count);
+    tell_entry (mesh, entry_connection->id, news);
 }
 
 void
@@ -98,15 +88,19 @@
 
 /* @alone: only the first one is suspected */
 static void
-suspect_requests (fq_mesh_t *mesh, const uint64_t *fingerprints, size_t count, bool alone)
+suspect_requests (fq_mesh_t *mesh, uint64_t *fingerprints, size_t count, bool alone)
 {
-  uint64_t crash = mesh->gate.crash;
-
-  if (alone)
-    count = 1;
-  for (size_t i = 0; i < count; i++)
-    fq_server_crash_add_suspect (mesh, fingerprints[i], crash, alone);
-  tell_all_entries (mesh, FQ_FRAME_CRASH_SUSPECTS, crash, alone, fingerprints, count);
+  fq_frame_t news = {
+    .kind = FQ_FRAME_CRASH_SUSPECTS,
+    .number = mesh->gate.crash,
+    .alone = alone,
+    .fingerprints = fingerprints,
+    .fingerprint_count = alone ? 1 : count,
+  };
+
+  for (size_t i = 0; i < news.fingerprint_count; i++)
+    fq_server_crash_add_suspect (mesh, fingerprints[i], mesh->gate.crash, alone);
+  tell_all_entries (mesh, &news);
 }
 
 /* Records that the present process of the server has ended by itself. */
@@ -215,6 +209,11 @@
 {
   fq_gate_t *gate = &mesh->gate;
   uint64_t fingerprint = run->offer.fingerprint;
+  fq_frame_t news = {
+    .kind = FQ_FRAME_SUSPECTS_CLEARED,
+    .fingerprints = &fingerprint,
+    .fingerprint_count = 1,
+  };
 
   if (gate->recent_losses.count > 0 && run->server_generation == gate->server_generation)
     fq_recent_losses_forget (&gate->recent_losses, run->started);
@@ -222,7 +221,7 @@
     return;
   fq_mesh_log (mesh, false, "event=suspect-cleared id=%s fingerprint=%016llx",
                run->offer.request_id, (unsigned long long)fingerprint);
-  tell_all_entries (mesh, FQ_FRAME_SUSPECTS_CLEARED, 0, false, &fingerprint, 1);
+  tell_all_entries (mesh, &news);
 }
 
 /* An answer of the same process, or of the next one under the same id, decides nothing;
@@ -261,6 +260,26 @@
     handle_check (mesh, outcome, instance);
 }
 
+static void
+tell_suspect (fq_mesh_t *mesh,
+              fq_id_t entry_connection,
+              const fq_crash_suspect_t *suspect)
+{
+  uint64_t fingerprint = suspect->fingerprint;
+  fq_frame_t news = {
+    .kind = FQ_FRAME_CRASH_SUSPECTS,
+    .alone = suspect->alone,
+    .fingerprints = &fingerprint,
+    .fingerprint_count = 1,
+  };
+
+  for (uint32_t i = 0; i < suspect->count; i++)
+    {
+      news.number = suspect->crashes[i];
+      tell_entry (mesh, entry_connection, &news);
+    }
+}
+
 void
 fq_server_crash_tell_suspects (fq_mesh_t *mesh, fq_id_t entry_connection)
 {
@@ -273,9 +292,7 @@
     {
       if (suspect->count < FQ_CRASHES_ISOLATED)
         continue;
+      tell_suspect (mesh, entry_connection, suspect);
       told++;
-      for (uint32_t i = 0; i < suspect->count; i++)
-        tell_entry (mesh, entry_connection, FQ_FRAME_CRASH_SUSPECTS, suspect->crashes[i],
-                    suspect->alone, &suspect->fingerprint, 1);
     }
 }
