--- a/review/standins-2/actor.c
+++ b/review/standins-2/actor.c
@@ -1,29 +1,31 @@
 /**
- * DOC: Stand-ins of the review's scripts: a server of the platform, and its clients.
+ * DOC: Stand-ins of the review's scripts: a server of the platform, its clients, and the
+ * network between a node and the store.
  *
  * usage: actor server ADDRESS REPORTS SERVICE ID REPORT_MS WORK_MS
+ *        actor proxy ADDRESS TARGET_ADDRESS
  *        actor load ADDRESS TARGET PREFIX SECONDS RATE
  *        actor kept ADDRESS TARGET PREFIX SECONDS CONNECTIONS
  *        actor upload ADDRESS TARGET ID BYTES KIB_PER_SECOND chunked|length
- *        actor download ADDRESS TARGET ID KIB_PER_SECOND SECONDS
  *        actor call METHOD ADDRESS TARGET [BODY]
  *
  * ADDRESS is "ip:port". All requests go to host "h". Each line of output ends with the
  * monotonic clock in milliseconds.
  *
  * "server" reports itself each REPORT_MS and answers each request WORK_MS after it has
- * read it whole. It prints "beat STATUS", "run ID CALLER", "answered ID", "broken ID"
- * (the connection was closed before the answer) and, for the commands on standard input,
- * the status of the call to the node: "leave" deregisters, after which it sends no
- * reports and its health check says 503; "drain" reports that it drains.
+ * read it whole. It prints "beat STATUS", "run ID CALLER", "answered ID" and "broken ID"
+ * (the connection was closed before the answer). The line "leave" on standard input makes
+ * it deregister; from then on it sends no reports and its health check says 503.
+ *
+ * "proxy" passes bytes on, and prints "request TARGET" for each request. The line
+ * "silence" on standard input makes it drop all bytes, in both directions, until the line
+ * "pass". A connection of which bytes were dropped delivers nothing after that, but stays
+ * open.
  *
  * "load" sends RATE requests a second, each on a connection of its own; "kept" sends
  * requests one after the other on CONNECTIONS connections. Both print "sent ID" and
- * "answer ID STATUS" or "closed ID". "upload" sends one body at a limited rate,
- * "download" reads one answer at a limited rate, for SECONDS at most, and prints "reading
- * ID BYTES" if it is not through by then. "call" prints the status of one call.
- *
- * The server answers LARGE_BYTES to a path that ends with "large".
+ * "answer ID STATUS" or "closed ID". "upload" sends one body at a limited rate. "call"
+ * prints the status of one call.
  */
 #define _GNU_SOURCE /* POLLRDHUP */
 #include <arpa/inet.h>
@@ -46,10 +48,8 @@
 #define TEXT_BYTES 512
 #define PIECE_BYTES 16384
 #define SLOTS 104
-#define LARGE_BYTES 4194304
 /* Before a client that was refused sends its next request. */
 #define REFUSED_PAUSE_MS 300
-#define SMALL_WINDOW_BYTES 65536
 #define CLIENT_TIMEOUT_MS 6000
 #define UPLOAD_TIMEOUT_MS 60000
 #define ANSWER_SECONDS 30 /* that a client waits for more bytes */
@@ -243,7 +243,6 @@
 static long long work_ms;
 static long long born;
 static volatile bool leaving;
-static volatile bool draining;
 static int sequence;
 
 static int
@@ -276,9 +275,9 @@
   snprintf (
       body, sizeof body,
       "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":\"%s\","
-      "\"version\":\"v1\",\"zone\":\"z\",\"slots\":%d},\"status\":{\"state\":\"%s\","
+      "\"version\":\"v1\",\"zone\":\"z\",\"slots\":%d},\"status\":{\"state\":\"ready\","
       "\"sequence\":%d,\"warmup_left\":\"0ms\"}}",
-      address_text, born, service, SLOTS, draining ? "draining" : "ready", ++sequence);
+      address_text, born, service, SLOTS, ++sequence);
   return call_node (target, body);
 }
 
@@ -330,23 +329,9 @@
   return poll (&input, 1, (int)work_ms) == 0;
 }
 
-static bool
-answer_large (int fd, const char *request_id)
-{
-  static char body[LARGE_BYTES];
-  char head[HEAD_BYTES];
-
-  snprintf (head, sizeof head,
-            "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Attempt-Id: %s\r\n"
-            "X-Response-Signature: signed\r\nContent-Length: %zu\r\n\r\n",
-            instance, request_id, sizeof body);
-  return send_all (fd, head, strlen (head)) && send_all (fd, body, sizeof body);
-}
-
 static bool
 serve_request (reader_t *reader, size_t head_size)
 {
-  bool is_large = strstr (reader->head, "large HTTP/1.1\r\n") != NULL;
   char id[TEXT_BYTES];
   char caller[TEXT_BYTES];
   char wanted[TEXT_BYTES];
@@ -358,8 +343,7 @@
   if (!skip_message (reader, head_size))
     return false;
   if (is_health)
-    return answer (reader->fd, leaving || draining ? "503 Service Unavailable" : "200 OK",
-                   "", "");
+    return answer (reader->fd, leaving ? "503 Service Unavailable" : "200 OK", "", "");
   if (wanted[0] != '\0' && strcmp (wanted, instance) != 0)
     return answer (reader->fd, "421 Misdirected Request", "", "");
   record ("run %s %s", id, caller);
@@ -369,7 +353,7 @@
       return false;
     }
   record ("answered %s", id);
-  return is_large ? answer_large (reader->fd, id) : answer (reader->fd, "200 OK", id, id);
+  return answer (reader->fd, "200 OK", id, id);
 }
 
 static void *
@@ -415,13 +399,26 @@
   return NULL;
 }
 
+/* Returns -1 on failure. */
+static int
+open_listener (const char *text)
+{
+  struct sockaddr_in address = parse_address (text);
+  int one = 1;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+
+  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (listener, (struct sockaddr *)&address, sizeof address) < 0
+      || listen (listener, 512) < 0)
+    return -1;
+  return listener;
+}
+
 static int
 run_server (char **arguments)
 {
   static int listener;
-  struct sockaddr_in address = parse_address (arguments[0]);
   char line[TEXT_BYTES];
-  int one = 1;
 
   address_text = arguments[0];
   reports_address = arguments[1];
@@ -430,10 +427,8 @@
   report_ms = atoll (arguments[4]);
   work_ms = atoll (arguments[5]);
   born = clock_ms (CLOCK_REALTIME);
-  listener = socket (AF_INET, SOCK_STREAM, 0);
-  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (bind (listener, (struct sockaddr *)&address, sizeof address) < 0
-      || listen (listener, 512) < 0)
+  listener = open_listener (arguments[0]);
+  if (listener < 0)
     return 2;
   start_thread (run_listener, &listener);
   start_thread (run_reports, NULL);
@@ -441,14 +436,113 @@
     {
       if (strcmp (line, "leave\n") == 0)
         deregister ();
-      else if (strcmp (line, "drain\n") == 0)
+    }
+  for (;;)
+    pause ();
+}
+
+/* The proxy. */
+
+static volatile bool silent;
+
+typedef struct
+{
+  int fds[2]; /* of the client, of the target */
+} pair_t;
+
+static void
+record_request (const char *bytes, size_t size)
+{
+  char line[TEXT_BYTES];
+  const char *space = memchr (bytes, ' ', size);
+
+  if (space == NULL)
+    return;
+  snprintf (line, sizeof line, "%.*s", (int)(size - (size_t)(space - bytes) - 1),
+            space + 1);
+  line[strcspn (line, " \r\n")] = '\0';
+  record ("request %s", line);
+}
+
+static void *
+run_pair (void *argument)
+{
+  pair_t *pair = argument;
+  static const int poll_ms = 20;
+  bool dead = false;
+
+  for (;;)
+    {
+      struct pollfd inputs[2] = { { .fd = pair->fds[0], .events = POLLIN },
+                                  { .fd = pair->fds[1], .events = POLLIN } };
+      char piece[PIECE_BYTES];
+
+      if (poll (inputs, 2, poll_ms) <= 0)
+        continue;
+      for (int i = 0; i < 2; i++)
         {
-          draining = true;
-          record ("drain %d", send_report ());
+          ssize_t count;
+
+          if (inputs[i].revents == 0)
+            continue;
+          count = recv (pair->fds[i], piece, sizeof piece, 0);
+          if (count <= 0)
+            goto ended;
+          if (i == 0)
+            record_request (piece, (size_t)count);
+          dead = dead || silent;
+          if (!dead && !send_all (pair->fds[1 - i], piece, (size_t)count))
+            goto ended;
         }
     }
+ended:
+  close (pair->fds[0]);
+  close (pair->fds[1]);
+  free (pair);
+  return NULL;
+}
+
+static void *
+run_proxy_listener (void *argument)
+{
+  int listener = *(int *)argument;
+
   for (;;)
-    pause ();
+    {
+      pair_t *pair = calloc (1, sizeof *pair);
+
+      if (pair == NULL)
+        exit (2);
+      pair->fds[0] = accept (listener, NULL, NULL);
+      pair->fds[1] = pair->fds[0] < 0 ? -1 : open_connection (reports_address);
+      if (pair->fds[1] >= 0)
+        start_thread (run_pair, pair);
+      else
+        {
+          close (pair->fds[0]);
+          free (pair);
+        }
+    }
+  return NULL;
+}
+
+static int
+run_proxy (char **arguments)
+{
+  static int listener;
+  char line[TEXT_BYTES];
+
+  reports_address = arguments[1];
+  listener = open_listener (arguments[0]);
+  if (listener < 0)
+    return 2;
+  start_thread (run_proxy_listener, &listener);
+  while (fgets (line, sizeof line, stdin) != NULL)
+    {
+      silent = strcmp (line, "silence\n") == 0;
+      record ("%s", silent ? "silent" : "passing");
+    }
+  return 0;
 }
 
 /* Clients. */
@@ -626,61 +720,6 @@
   return 0;
 }
 
-static int
-run_download (char **arguments)
-{
-  static reader_t reader;
-  static char piece[PIECE_BYTES];
-  const char *id = arguments[2];
-  double rate = atof (arguments[3]) * 1024;
-  long long began = clock_ms (CLOCK_MONOTONIC);
-  long long until = began + atoll (arguments[4]) * 1000;
-  int window = SMALL_WINDOW_BYTES;
-  size_t left;
-  size_t head;
-  size_t done = 0;
-  int status;
-  char text[TEXT_BYTES];
-
-  target = arguments[1];
-  reader.fd = open_connection (arguments[0]);
-  setsockopt (reader.fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-  snprintf (text, sizeof text,
-            "GET %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Timeout-Ms: %d\r\n\r\n",
-            target, id, UPLOAD_TIMEOUT_MS);
-  record ("sent %s", id);
-  head = send_all (reader.fd, text, strlen (text)) ? read_head (&reader) : 0;
-  if (head == 0 || sscanf (reader.head, "HTTP/1.1 %d", &status) != 1
-      || !get_field (reader.head, "Content-Length", text, sizeof text))
-    {
-      record ("closed %s", id);
-      return 0;
-    }
-  left = strtoull (text, NULL, 10) - (reader.have - head);
-  while (left > 0 && clock_ms (CLOCK_MONOTONIC) < until)
-    {
-      long long due = began + (long long)((double)done / rate * 1000);
-      long long now = clock_ms (CLOCK_MONOTONIC);
-      ssize_t count;
-
-      if (due > now)
-        sleep_ms (due - now);
-      count = recv (reader.fd, piece, left < sizeof piece ? left : sizeof piece, 0);
-      if (count <= 0)
-        {
-          record ("closed %s", id);
-          return 0;
-        }
-      left -= (size_t)count;
-      done += (size_t)count;
-    }
-  if (left > 0)
-    record ("reading %s %zu", id, done);
-  else
-    record_answer (id, status);
-  return 0;
-}
-
 static int
 run_call (char **arguments, int count)
 {
@@ -709,14 +748,14 @@
   signal (SIGPIPE, SIG_IGN);
   if (argc == 8 && strcmp (argv[1], "server") == 0)
     return run_server (argv + 2);
+  if (argc == 4 && strcmp (argv[1], "proxy") == 0)
+    return run_proxy (argv + 2);
   if (argc == 7 && strcmp (argv[1], "load") == 0)
     return run_load (argv + 2);
   if (argc == 7 && strcmp (argv[1], "kept") == 0)
     return run_kept (argv + 2);
   if (argc == 8 && strcmp (argv[1], "upload") == 0)
     return run_upload (argv + 2);
-  if (argc == 7 && strcmp (argv[1], "download") == 0)
-    return run_download (argv + 2);
   if (argc >= 5 && strcmp (argv[1], "call") == 0)
     return run_call (argv + 2, argc - 2);
   fprintf (stderr, "usage: see actor.c\n");
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -27,6 +27,15 @@
 done
 
 # A block of 10 ports that nobody listens on; the folder keeps other runs away from it.
+ports_are_free ()
+{
+  local port
+  for port in $(seq "$base" $((base + 9))); do
+    grep -qi ":$(printf '%04X' "$port") " /proc/net/tcp && return 1
+  done
+  return 0
+}
+
 reserve_ports ()
 {
   local block
@@ -34,7 +43,7 @@
     base=$((block * 10))
     lock=/tmp/fq-review-2.$base
     mkdir "$lock" 2>/dev/null || continue
-    grep -qiE ":$(printf '%04X' $base | cut -c1-3)[0-9A-F] " /proc/net/tcp || return 0
+    ports_are_free && return
     rmdir "$lock"
   done
   rm -rf "$work"
@@ -88,11 +97,11 @@
 
 memory_mb=260
 
-# start_node NUMBER SERVICE: the settings are those of afr-plant in deploy/settings.json.
+# start_node NUMBER SERVICE [STORE]: the settings are those of afr-plant in deploy/settings.json.
 start_node ()
 {
   cat >"$work/m$1.json" <<END
-{ "node": "m$1", "zone": "z", "ip": "$(ip "$1")", "store": "$store", "seeds": [],
+{ "node": "m$1", "zone": "z", "ip": "$(ip "$1")", "store": "${3:-$store}", "seeds": [],
   "listen": { "requests": "$(requests "$1")", "readiness": "$(ready "$1")",
     "reports": "$(reports "$1")", "nodes": "$(ip "$1"):$((base + 4))" },
   "server": { "service": "$2", "address": "$(server "$1")", "report_interval": "1500ms", "drain": "2000ms" },
@@ -115,18 +124,31 @@
 is_ready () { call GET "$(ready "$1")" /v1/readiness; }
 has_server () { grep -q 'to=ready' "$work/m$1.log"; }
 
-# put_config: prefix /back/ of host h goes to service back (safe), /upload/ too (upload).
+# start_proxy NAME ADDRESS TARGET: write its commands to $work/NAME.in.
+start_proxy ()
+{
+  mkfifo "$work/$1.in"
+  "$actor" proxy "$2" "$3" >>"$work/$1.log" 2>&1 <>"$work/$1.in" &
+  pid[$1]=$!
+  pids+=($!)
+}
+
+# put_config [VERSION SERVICE]: prefix /back/ of host h is safe, /once/ unsafe and /upload/ of
+# kind upload; they go to SERVICE.
 put_config ()
 {
+  local to=${2:-back}
   local document value
-  document='{"version":1,"services":['
+  document="{\"version\":${1:-1},\"services\":["
   document+='{"name":"front","health_path":"/health","max_connections":724},'
+  document+='{"name":"other","health_path":"/health","max_connections":724},'
   document+='{"name":"back","health_path":"/health","max_connections":724}],'
   document+='"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},'
   document+='"virtual_hosts":[{"host":"h","paths":['
-  document+='{"name":"r1","prefix":"/back/","route_type":"safe","timeout":"5s","target_latency":"1500ms","priority":1,"service":"back","max_attempts":2},'
-  document+='{"name":"r2","prefix":"/upload/","route_type":"upload","timeout":"30s","target_latency":"1500ms","priority":1,"service":"back","max_attempts":2}]}]}'
-  value=$(echo -n "$document" | base64 -w 0)
+  document+='{"name":"r1","prefix":"/back/","route_type":"safe","timeout":"5s","target_latency":"1500ms","priority":1,"service":"TO","max_attempts":2},'
+  document+='{"name":"r3","prefix":"/once/","route_type":"unsafe","timeout":"5s","target_latency":"1500ms","priority":0,"service":"TO","max_attempts":2},'
+  document+='{"name":"r2","prefix":"/upload/","route_type":"upload","timeout":"30s","target_latency":"1500ms","priority":1,"service":"TO","max_attempts":2}]}]}'
+  value=$(echo -n "${document//TO/$to}" | base64 -w 0)
   call POST "$store" /v1/rows-tx "{\"precondition\":[],\"put\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"$value\"}],\"remove\":[]}" \
     || cannot_run "the config was not written"
 }
