Compare start times of servers only where both are known

Cause: the node had found its server by a health check, which tells no start time. The 0 kept for that was compared with the start time of the deregistration as a value, so that it was taken for one of another process (log: leave-ignored with the same id on both sides). The call was acknowledged whatever came of it.

Change: an unknown start time, on either side, matches an equal id. Leavings of processes that are not the server are remembered by process, as they are acknowledged, and so are recalls of other nodes. A process that reports beside the server is its rival: a health check tells which of the two is there, and where both have one id, reports over 6 s, longer than any can be late.

--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -32,6 +32,10 @@
  * this VM, and says nothing of the peer, whose messages may be waiting. */
 #define FQ_CHECK_LATE_US (200 * FQ_MICROSECONDS_PER_MS)
 
+/** FQ_REPORTS_LATE_US - a report that arrives this long after some event was sent after
+ * it. */
+#define FQ_REPORTS_LATE_US (6 * FQ_MICROSECONDS_PER_SECOND)
+
 #define FQ_TRIED_MAX 8 /* gates of earlier attempts that an exchange records */
 
 /** enum fq_mesh_timer_t - kind of a timer. */
@@ -162,19 +166,35 @@
   fq_list_t link; /* in the runs of the gate */
 } fq_gate_run_t;
 
+/** struct fq_server_rival_t - a process whose reports say that it is the local server,
+ * while another one is taken for it. */
+typedef struct
+{
+  fq_server_report_t report; /* the latest; without an instance: there is no rival */
+  fq_time_t since; /* when the first one came; the server sent none since then */
+} fq_server_rival_t;
+
 /** struct fq_gate_t - the gate of the local server. */
 typedef struct
 {
+  /* Its start time is 0 while it is not known: a health check does not tell it, and a
+   * process that leaves may be known by its id alone. */
   fq_server_t server;
-  uint64_t server_sequence;    /* of its last report */
-  uint64_t server_generation;  /* counts the processes that were the server */
-  fq_server_notice_t notice;   /* the last one that was not malformed */
-  bool notice_malformed;       /* the last one was */
-  bool notice_heard;           /* the server itself said something in an answer */
-  fq_server_memory_t recalled; /* what other nodes were told before this one started */
-  fq_time_t rate_stated_at;    /* when an answer stated the rate limit last */
-  uint32_t rate_unstated;      /* answers since then that did not */
-  bool probed;                 /* a probe for the server's health and instance was sent */
+  fq_server_rival_t rival;
+  uint64_t server_sequence;   /* of its last report */
+  uint64_t server_generation; /* counts the processes that were the server */
+  fq_server_notice_t notice;  /* the last one that was not malformed */
+  bool notice_malformed;      /* the last one was */
+  bool notice_heard;          /* the server itself said something in an answer */
+  /* What other nodes were told before this one started, and acknowledged statements of
+   * processes other than the server. */
+  fq_server_memories_t recalled;
+  /* When a server that had left under its id was seen to run again; 0: none was. What
+   * was known of that id before is about an earlier process. */
+  fq_time_t returned_at;
+  fq_time_t rate_stated_at; /* when an answer stated the rate limit last */
+  uint32_t rate_unstated;   /* answers since then that did not */
+  bool probed;              /* a probe for the server's health and instance was sent */
   bool confirmed; /* the server is known to be ready: by a probe or a second report */
   bool unhealthy; /* its health check contradicted its reports */
   fq_time_t answered_at; /* when the server answered a run last */
@@ -443,6 +463,9 @@
  * healthy. */
 void fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance);
 
+/** fq_server_state_accept_report() - put in force what @report of the server says. */
+void fq_server_state_accept_report (fq_mesh_t *mesh, const fq_server_report_t *report);
+
 /** fq_server_state_begin_drain() - the server is leaving: it gets new requests only until
  * the drain ends. Repeated calls change nothing. */
 void fq_server_state_begin_drain (fq_mesh_t *mesh, const char *reason);
@@ -451,6 +474,9 @@
  * restart, told it of its server. */
 void fq_server_state_recall (fq_mesh_t *mesh, const fq_server_recall_t *recall);
 
+/** fq_server_state_apply_recalled() - apply what is remembered of the server. */
+void fq_server_state_apply_recalled (fq_mesh_t *mesh);
+
 /** fq_server_drain_end() - when a server gets no more requests that is known since @since
  * to be leaving. */
 fq_time_t fq_server_drain_end (const fq_mesh_t *mesh, fq_time_t since);
@@ -468,6 +494,33 @@
  * nodes. */
 void fq_server_state_broadcast (fq_mesh_t *mesh);
 
+/* server_identity.c: which process the local server is. */
+
+/** enum fq_report_claim_t - which process a report is of, and whether it is news. */
+typedef enum
+{
+  FQ_CLAIM_PRESENT,  /* of the server, later than its last one */
+  FQ_CLAIM_STALE,    /* earlier than what is known */
+  FQ_CLAIM_NEXT,     /* of the process that took the place of the server */
+  FQ_CLAIM_UNPROVEN, /* of another process, and the server may still be there */
+} fq_report_claim_t;
+
+fq_report_claim_t fq_server_classify_report (const fq_mesh_t *mesh,
+                                             const fq_server_report_t *report);
+
+/** fq_server_is_present() - whether @report may be of the process that is the server. */
+bool fq_server_is_present (const fq_server_t *server, const fq_server_report_t *report);
+
+/** fq_server_adopt() - the process that sent @report is the server from now on. */
+void fq_server_adopt (fq_mesh_t *mesh, const fq_server_report_t *report);
+
+/** fq_server_challenge() - @report is of a process that is not taken for the server:
+ * adopt it if it is proven to be the server, and ask the server otherwise. */
+void fq_server_challenge (fq_mesh_t *mesh, const fq_server_report_t *report);
+
+/** fq_server_resolve_challenge() - @instance answered a health check, as @healthy. */
+void fq_server_resolve_challenge (fq_mesh_t *mesh, const char *instance, bool healthy);
+
 /* server_notice.c: what the local server says of itself in its answers. */
 
 /** fq_server_notice_record() - record @notice, put a changed rate limit in force, and log
--- /dev/null
+++ b/src/mesh/server_identity.c
@@ -0,0 +1,163 @@
+/**
+ * DOC: Which process the local server is, by the ids and start times of its reports.
+ *
+ * Reports arrive late, come from other writers, and may lack a start time; clocks step
+ * back. So the values of one report never decide for good: a process that is not taken
+ * for the server is its rival as long as it reports and the server does not. A health
+ * check tells which of the two has the address. Where it can't, because both have the
+ * same id, the rival is the server once its reports have come for longer than any can be
+ * late.
+ */
+#include <string.h>
+
+#include "mesh/mesh_private.h"
+
+bool
+fq_server_is_present (const fq_server_t *server, const fq_server_report_t *report)
+{
+  return fq_may_be_same_process (server->instance, server->started_ms, report->instance,
+                                 report->started_ms);
+}
+
+fq_report_claim_t
+fq_server_classify_report (const fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  const fq_gate_t *gate = &mesh->gate;
+  const fq_server_t *server = &gate->server;
+
+  if (server->instance[0] == '\0')
+    return FQ_CLAIM_NEXT;
+  if (fq_server_is_present (server, report))
+    return report->sequence > gate->server_sequence ? FQ_CLAIM_PRESENT : FQ_CLAIM_STALE;
+  if (server->started_ms == 0 || report->started_ms == 0)
+    return FQ_CLAIM_UNPROVEN;
+  return report->started_ms > server->started_ms ? FQ_CLAIM_NEXT : FQ_CLAIM_STALE;
+}
+
+void
+fq_server_adopt (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  fq_mesh_log (mesh, false,
+               "event=server-start service=%s instance=%s started_ms=%llu slots=%u "
+               "warmup_ms=%u previous=%s",
+               report->service, report->instance, (unsigned long long)report->started_ms,
+               report->slots, report->warmup_ms, gate->server.instance);
+  fq_server_crash_replaced (mesh);
+  if (gate->server.instance[0] != '\0')
+    {
+      fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_CLOSE_IDLE);
+      fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
+    }
+  memcpy (gate->server.service, report->service, sizeof gate->server.service);
+  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
+  memcpy (mesh->service, report->service, sizeof mesh->service);
+  gate->server.phase = FQ_PHASE_ABSENT;
+  gate->server.started_ms = report->started_ms;
+  gate->server_generation++;
+  gate->rival = (fq_server_rival_t){ 0 };
+  gate->returned_at = 0;
+  gate->drain_until = 0;
+  gate->unhealthy = false;
+  fq_server_notice_forget (mesh);
+  fq_server_state_apply_recalled (mesh);
+}
+
+/* Whether the rival has the id of a server that left, and it is not known which process
+ * of that id was meant. */
+static bool
+may_have_left (const fq_gate_t *gate)
+{
+  return gate->drain_until != 0
+         && fq_server_is_present (&gate->server, &gate->rival.report);
+}
+
+/* Whether the latest report of the rival was sent after the last of the server. */
+static bool
+is_proven_by_time (const fq_mesh_t *mesh)
+{
+  return mesh->now - mesh->gate.rival.since >= FQ_REPORTS_LATE_US;
+}
+
+/* @healthy: its reports are confirmed */
+static void
+adopt_rival (fq_mesh_t *mesh, bool healthy, const char *reason)
+{
+  fq_gate_t *gate = &mesh->gate;
+  fq_server_report_t report = gate->rival.report;
+  bool returned = may_have_left (gate);
+
+  fq_mesh_log (mesh, false,
+               "event=rival-adopted instance=%s started_ms=%llu reason=%s known_ms=%lld",
+               report.instance, (unsigned long long)report.started_ms, reason,
+               (long long)((mesh->now - gate->rival.since) / FQ_MICROSECONDS_PER_MS));
+  if (returned)
+    fq_server_memories_forget (&gate->recalled, report.instance);
+  fq_server_adopt (mesh, &report);
+  if (returned)
+    gate->returned_at = mesh->now;
+  gate->confirmed = healthy;
+  gate->unhealthy = !healthy;
+  fq_server_state_accept_report (mesh, &report);
+}
+
+static void
+record_rival (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_server_rival_t *rival = &mesh->gate.rival;
+
+  if (!fq_may_be_same_process (rival->report.instance, rival->report.started_ms,
+                               report->instance, report->started_ms))
+    rival->since = mesh->now;
+  else if (report->sequence <= rival->report.sequence)
+    return;
+  rival->report = *report;
+}
+
+void
+fq_server_challenge (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  record_rival (mesh, report);
+  if (strcmp (report->instance, gate->server.instance) != 0)
+    {
+      if (is_proven_by_time (mesh))
+        adopt_rival (mesh, true, "reports");
+      else
+        fq_server_state_send_probe (mesh);
+      return;
+    }
+  if (!is_proven_by_time (mesh))
+    return;
+  if (may_have_left (gate))
+    fq_server_state_send_probe (mesh);
+  else
+    adopt_rival (mesh, true, "reports");
+}
+
+void
+fq_server_resolve_challenge (fq_mesh_t *mesh, const char *instance, bool healthy)
+{
+  fq_gate_t *gate = &mesh->gate;
+  const char *rival = gate->rival.report.instance;
+
+  if (instance[0] == '\0' || rival[0] == '\0')
+    return;
+  if (strcmp (rival, gate->server.instance) == 0)
+    {
+      if (strcmp (rival, instance) == 0 && healthy && is_proven_by_time (mesh))
+        adopt_rival (mesh, healthy, "reports-and-health-check");
+      return;
+    }
+  if (strcmp (rival, instance) == 0)
+    {
+      adopt_rival (mesh, healthy, "health-check");
+      return;
+    }
+  if (strcmp (gate->server.instance, instance) != 0)
+    return;
+  fq_mesh_log (mesh, false, "event=rival-refuted instance=%s by=%s", rival, instance);
+  gate->rival = (fq_server_rival_t){ 0 };
+}
--- a/src/mesh/server_memory.h
+++ b/src/mesh/server_memory.h
@@ -22,21 +22,47 @@
   fq_time_t rate_stated_at; /* when the gate last told it, or that there is none */
 } fq_server_memory_t;
 
-/** fq_server_memory_is_of() - whether it is about this process. A start time of 0 on
+/** fq_server_memory_is_of() - whether it may be about this process. A start time of 0 on
  * either side matches any. */
 bool fq_server_memory_is_of (const fq_server_memory_t *memory,
                              const char *instance,
                              uint64_t started_ms);
 
-/** fq_server_memory_record() - the gate told @server and @rate_limit at time @now. */
+/** fq_may_be_same_process() - whether two ids and start times may name one process: the
+ * ids are equal, and the start times are too, unless one of them is not known (0). */
+bool fq_may_be_same_process (const char *instance,
+                             uint64_t started_ms,
+                             const char *other_instance,
+                             uint64_t other_started_ms);
+
+/** fq_server_memory_record() - the gate told @server and @rate_limit at time @now. The
+ * gate was told before what is remembered; if it says that the server is ready, the
+ * server is not the process that was leaving. */
 void fq_server_memory_record (fq_server_memory_t *memory,
                               fq_time_t now,
                               const fq_server_t *server,
                               double rate_limit);
 
-/** fq_server_memory_merge() - add what another node remembers: of one process the
- * earliest leaving and the latest rate limit, of two the later process. */
-void fq_server_memory_merge (fq_server_memory_t *memory, const fq_server_memory_t *other);
+/** FQ_SERVER_MEMORIES_MAX - processes that a gate remembers from before its own
+ * knowledge.
+ */
+#define FQ_SERVER_MEMORIES_MAX 16
+
+/** struct fq_server_memories_t - what is known of several processes, any of which may be
+ * the local server; zero-initialised, it is empty. */
+typedef struct
+{
+  fq_server_memory_t items[FQ_SERVER_MEMORIES_MAX]; /* without an instance: unused */
+  size_t oldest; /* is replaced next when all are used */
+} fq_server_memories_t;
+
+/** fq_server_memories_add() - add @memory, or merge it with that of the same process: the
+ * earliest leaving and the latest rate limit hold. */
+void fq_server_memories_add (fq_server_memories_t *memories,
+                             const fq_server_memory_t *memory);
+
+/** fq_server_memories_forget() - remove what is known of processes with this id. */
+void fq_server_memories_forget (fq_server_memories_t *memories, const char *instance);
 
 /** fq_server_memory_to_recall() - convert times to ages at time @now, for a frame. */
 void fq_server_memory_to_recall (const fq_server_memory_t *memory,
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -23,9 +23,6 @@
 /* Missed reports in a row after which a server that answers no requests is absent. */
 #define FQ_REPORTS_MISSED_MAX 3
 
-/* After the start of this node, no report that arrives is from before it. */
-#define FQ_REPORTS_LATE_US (6 * FQ_MICROSECONDS_PER_SECOND)
-
 void
 fq_server_state_broadcast (fq_mesh_t *mesh)
 {
@@ -106,18 +103,33 @@
          - FQ_DRAIN_MARGIN_US;
 }
 
-/* Applies what other nodes remember, if it is about the present server. */
-static void
-apply_recalled (fq_mesh_t *mesh)
+/* Whether @memory tells that the present server, or one before it with its id, left. */
+static bool
+tells_of_leaving (const fq_gate_t *gate, const fq_server_memory_t *memory)
+{
+  return memory->leaving && gate->drain_until == 0
+         && (memory->started_ms != 0 || memory->leaving_since > gate->returned_at);
+}
+
+void
+fq_server_state_apply_recalled (fq_mesh_t *mesh)
 {
   fq_gate_t *gate = &mesh->gate;
-  const fq_server_memory_t *memory = &gate->recalled;
 
-  if (!fq_server_memory_is_of (memory, gate->server.instance, gate->server.started_ms))
-    return;
-  fq_server_notice_recall (mesh, memory);
-  if (memory->leaving)
-    begin_drain_since (mesh, memory->leaving_since, "recalled");
+  for (size_t i = 0; i < FQ_SERVER_MEMORIES_MAX; i++)
+    {
+      const fq_server_memory_t *memory = &gate->recalled.items[i];
+
+      if (!fq_server_memory_is_of (memory, gate->server.instance,
+                                   gate->server.started_ms))
+        continue;
+      fq_server_notice_recall (mesh, memory);
+      if (!tells_of_leaving (gate, memory))
+        continue;
+      /* If it does not tell which process of that id left, it is not known any more. */
+      gate->server.started_ms = memory->started_ms;
+      begin_drain_since (mesh, memory->leaving_since, "recalled");
+    }
 }
 
 void
@@ -128,56 +140,27 @@
   if (recall->instance[0] == '\0')
     return;
   fq_server_memory_from_recall (recall, mesh->now, &memory);
-  fq_server_memory_merge (&mesh->gate.recalled, &memory);
-  apply_recalled (mesh);
-}
-
-/* A health check yields the instance without its start time (0), which the first report
- * of that instance then supplies. */
-static bool
-is_same_process (const fq_gate_t *gate, const fq_server_report_t *report)
-{
-  return strcmp (gate->server.instance, report->instance) == 0
-         && (gate->server.started_ms == report->started_ms
-             || gate->server.started_ms == 0);
-}
-
-static bool
-is_stale (const fq_gate_t *gate, const fq_server_report_t *report)
-{
-  if (gate->server.instance[0] == '\0')
-    return false;
-  if (is_same_process (gate, report))
-    return report->sequence <= gate->server_sequence;
-  return report->started_ms < gate->server.started_ms;
+  fq_server_memories_add (&mesh->gate.recalled, &memory);
+  fq_server_state_apply_recalled (mesh);
 }
 
+/* Records that a process left that is not the server as far as this node knows, so that
+ * it gets no work if it turns out to be. */
 static void
-adopt_process (fq_mesh_t *mesh, const fq_server_report_t *report)
+record_leaving (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_gate_t *gate = &mesh->gate;
-
-  fq_mesh_log (mesh, false,
-               "event=server-start service=%s instance=%s started_ms=%llu slots=%u "
-               "warmup_ms=%u previous=%s",
-               report->service, report->instance, (unsigned long long)report->started_ms,
-               report->slots, report->warmup_ms, gate->server.instance);
-  fq_server_crash_replaced (mesh);
-  if (gate->server.instance[0] != '\0')
-    {
-      fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_CLOSE_IDLE);
-      fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
-    }
-  memcpy (gate->server.service, report->service, sizeof gate->server.service);
-  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
-  memcpy (mesh->service, report->service, sizeof mesh->service);
-  gate->server.phase = FQ_PHASE_ABSENT;
-  gate->server.started_ms = report->started_ms;
-  gate->server_generation++;
-  gate->drain_until = 0;
-  gate->unhealthy = false;
-  fq_server_notice_forget (mesh);
-  apply_recalled (mesh);
+  fq_time_t drain = (fq_time_t)mesh->params.drain_ms * FQ_MICROSECONDS_PER_MS;
+  fq_server_memory_t memory = {
+    .started_ms = report->started_ms,
+    .leaving = true,
+    .leaving_since = mesh->now - drain,
+  };
+
+  memcpy (memory.instance, report->instance, sizeof memory.instance);
+  fq_server_memories_add (&mesh->gate.recalled, &memory);
+  fq_mesh_log (mesh, false, "event=leave-recorded instance=%s started_ms=%llu known=%s",
+               report->instance, (unsigned long long)report->started_ms,
+               mesh->gate.server.instance);
 }
 
 static void
@@ -211,11 +194,91 @@
   return true;
 }
 
+/* Takes the start time of the server from its report; a health check does not tell it,
+ * and the other nodes need it to tell the process from the next one. */
+static void
+record_start_time (fq_mesh_t *mesh, uint64_t started_ms)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  if (started_ms == 0 || gate->server.started_ms == started_ms)
+    return;
+  gate->server.started_ms = started_ms;
+  fq_server_state_broadcast (mesh);
+}
+
+/* Handles a report of the server after it began to leave. One that says "ready" was
+ * delayed, unless it is of the next process with that id. */
+static void
+handle_report_of_leaving (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  const fq_server_t *server = &mesh->gate.server;
+
+  if (report->draining)
+    record_start_time (mesh, report->started_ms);
+  else if (server->started_ms == 0 || report->started_ms == 0)
+    fq_server_challenge (mesh, report);
+}
+
+void
+fq_server_state_accept_report (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  fq_gate_t *gate = &mesh->gate;
+
+  gate->rival = (fq_server_rival_t){ 0 };
+  /* Also a process that was adopted just now may be remembered as leaving. */
+  if (gate->drain_until != 0)
+    {
+      handle_report_of_leaving (mesh, report);
+      return;
+    }
+  gate->server_sequence = report->sequence;
+  record_start_time (mesh, report->started_ms);
+  set_concurrency_limit (gate, report->slots);
+  if (report->draining)
+    {
+      fq_server_state_begin_drain (mesh, "reported");
+      return;
+    }
+  arm_report_timer (mesh);
+  if (!gate->confirmed)
+    fq_server_state_probe_if_uncertain (mesh);
+  else if (gate->server.phase != FQ_PHASE_READY)
+    enter_phase (mesh, FQ_PHASE_READY, "reported");
+  fq_gate_start_queued (mesh);
+}
+
+static void
+record_stale (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  mesh->metrics.counters[FQ_METRIC_STALE_REPORTS]++;
+  fq_mesh_log (mesh, false,
+               "event=report-stale instance=%s started_ms=%llu sequence=%llu "
+               "known_instance=%s known_started_ms=%llu known=%llu",
+               report->instance, (unsigned long long)report->started_ms,
+               (unsigned long long)report->sequence, mesh->gate.server.instance,
+               (unsigned long long)mesh->gate.server.started_ms,
+               (unsigned long long)mesh->gate.server_sequence);
+}
+
+/* Handles a report that is not of the server, as far as is known. If it says "draining",
+ * its sender gets an acknowledgement all the same, which binds this node. */
+static void
+handle_other_report (fq_mesh_t *mesh, const fq_server_report_t *report)
+{
+  if (!report->draining)
+    fq_server_challenge (mesh, report);
+  else if (fq_server_is_present (&mesh->gate.server, report))
+    fq_server_state_begin_drain (mesh, "reported");
+  else
+    record_leaving (mesh, report);
+}
+
 void
 fq_server_state_handle_report (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
-  bool is_first;
+  bool is_first = gate->server.instance[0] == '\0';
 
   if (!is_of_known_service (mesh, report))
     {
@@ -223,34 +286,26 @@
                    report->instance, report->service);
       return;
     }
-  if (is_stale (gate, report))
+  if (gate->drain_until != 0 && fq_server_is_present (&gate->server, report))
     {
-      mesh->metrics.counters[FQ_METRIC_STALE_REPORTS]++;
-      fq_mesh_log (mesh, false, "event=report-stale instance=%s sequence=%llu known=%llu",
-                   report->instance, (unsigned long long)report->sequence,
-                   (unsigned long long)gate->server_sequence);
+      handle_report_of_leaving (mesh, report);
       return;
     }
-  is_first = gate->server.instance[0] == '\0';
-  if (!is_same_process (gate, report))
-    adopt_process (mesh, report);
-  gate->server_sequence = report->sequence;
-  /* A health check does not tell when the process started; the other nodes need that to
-   * tell it from the next one. */
-  if (gate->server.started_ms != report->started_ms)
-    {
-      gate->server.started_ms = report->started_ms;
-      fq_server_state_broadcast (mesh);
-    }
-  if (gate->drain_until != 0)
-    return;
-  set_concurrency_limit (gate, report->slots);
-  if (report->draining)
+  switch (fq_server_classify_report (mesh, report))
     {
-      fq_server_state_begin_drain (mesh, "reported");
+    case FQ_CLAIM_PRESENT:
+      break;
+    case FQ_CLAIM_NEXT:
+      fq_server_adopt (mesh, report);
+      break;
+    case FQ_CLAIM_STALE:
+      record_stale (mesh, report);
+      handle_other_report (mesh, report);
+      return;
+    case FQ_CLAIM_UNPROVEN:
+      handle_other_report (mesh, report);
       return;
     }
-  arm_report_timer (mesh);
   /* The first report that this node gets needs a health check to confirm it, also when
    * one was sent before. Any later report confirms the server, also that of a new
    * process. */
@@ -258,11 +313,7 @@
     gate->probed = false;
   else if (!is_contradicted (mesh))
     gate->confirmed = true;
-  if (!gate->confirmed)
-    fq_server_state_probe_if_uncertain (mesh);
-  else if (gate->server.phase != FQ_PHASE_READY)
-    enter_phase (mesh, FQ_PHASE_READY, "reported");
-  fq_gate_start_queued (mesh);
+  fq_server_state_accept_report (mesh, report);
 }
 
 /* Servers of one service have equally many slots, so that the limit of a peer's gate
@@ -345,6 +396,7 @@
 void
 fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance)
 {
+  fq_server_resolve_challenge (mesh, instance, false);
   if (strcmp (mesh->gate.server.instance, instance) == 0)
     mesh->gate.unhealthy = true;
 }
@@ -357,6 +409,7 @@
   fq_gate_t *gate = &mesh->gate;
   uint32_t limit = lowest_peer_limit (mesh);
 
+  fq_server_resolve_challenge (mesh, instance, true);
   if (gate->server.instance[0] != '\0')
     {
       if (strcmp (gate->server.instance, instance) == 0)
@@ -371,43 +424,24 @@
   memcpy (gate->server.service, mesh->service, sizeof gate->server.service);
   gate->queue.limit = limit;
   arm_report_timer (mesh);
-  apply_recalled (mesh);
+  fq_server_state_apply_recalled (mesh);
   record_probe_notice (mesh, notice);
   if (gate->drain_until != 0)
     return;
   enter_phase (mesh, FQ_PHASE_READY, "probed");
 }
 
-/* A deregistration can be the first that a restarted node receives from its server. The
- * process is recorded as drained and never gets work. */
-static void
-record_drained_process (fq_mesh_t *mesh, const fq_server_report_t *report)
-{
-  fq_gate_t *gate = &mesh->gate;
-
-  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
-  gate->server.started_ms = report->started_ms;
-  gate->drain_until = mesh->now;
-  fq_mesh_log (mesh, false, "event=leave-of-unknown instance=%s", report->instance);
-}
-
 void
 fq_server_state_handle_deregistration (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
 
-  if (gate->server.instance[0] == '\0')
-    {
-      record_drained_process (mesh, report);
-      return;
-    }
-  if (strcmp (gate->server.instance, report->instance) != 0
-      || (report->started_ms != 0 && report->started_ms != gate->server.started_ms))
+  if (!fq_server_is_present (&gate->server, report))
     {
-      fq_mesh_log (mesh, false, "event=leave-ignored instance=%s known=%s",
-                   report->instance, gate->server.instance);
+      record_leaving (mesh, report);
       return;
     }
+  record_start_time (mesh, report->started_ms);
   fq_server_state_begin_drain (mesh, "left");
 }
 
