Reject answers whose status is none

Cause: the reader took any number as the status of an answer. 000 and 99 counted as interim answers, which are skipped, except where the connection ended the answer: then it was complete.

Change: a status outside 100 to 599 makes the bytes no answer, as the other malformed heads do. The attempt fails at once, and the client gets the answer of another server, or 502.

Test that failed before: test_call_ends_with_answer_or_failure, the rows "status 000 and a body up to the end" (was answered "ab"), "status 000" and "status 99" (waited), "status 000 before an answer" and "status 600" (were answered). filbertquayd's client refused such answers already (src/net/http_client.c, by reading).

--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -15,7 +15,9 @@
 #define FQ_STATUS_NOT_IMPLEMENTED 501
 #define FQ_STATUS_UNAVAILABLE 503
 #define FQ_STATUS_VERSION_NOT_SUPPORTED 505
+#define FQ_STATUS_MIN 100 /* RFC 9110 defines five classes of answers */
 #define FQ_STATUS_INFORMATIONAL_MAX 199
+#define FQ_STATUS_MAX 599
 #define FQ_INTERIM_MAX 16 /* interim answers before one final answer */
 /* Framing allowed beyond the size of a head, for each byte of body: a chunk of one byte
  * has five. */
@@ -190,6 +192,27 @@
   return 0;
 }
 
+static int
+check_answer (fq_http_reader_t *reader, const http_parser *parser)
+{
+  if (parser->status_code < FQ_STATUS_MIN || parser->status_code > FQ_STATUS_MAX)
+    return fail (reader, FQ_STATUS_BAD_REQUEST, "no status of an answer");
+  return 0;
+}
+
+static int
+check_start_line (fq_http_reader_t *reader, const http_parser *parser)
+{
+  switch (reader->kind)
+    {
+    case FQ_HTTP_REQUESTS:
+      return check_request (reader, parser);
+    case FQ_HTTP_ANSWERS:
+      return check_answer (reader, parser);
+    }
+  return -1;
+}
+
 static bool
 has_length (const http_parser *parser)
 {
@@ -220,9 +243,7 @@
   parser->upgrade = 0;
   store_fields (reader);
   reader->message->status = (uint16_t)parser->status_code;
-  if (reader->kind == FQ_HTTP_REQUESTS && check_request (reader, parser) < 0)
-    return -1;
-  if (prepare_body (reader, parser) < 0)
+  if (check_start_line (reader, parser) < 0 || prepare_body (reader, parser) < 0)
     return -1;
   reader->in_trailers = true;
   return reader->answers_head_request ? 1 : 0;
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -3,8 +3,8 @@
  *
  * It rejects input that http-parser accepts but other implementations interpret
  * differently: folded field lines, bare line feeds, NUL, white space before a colon, more
- * than one Host field, Content-Length together with chunked coding, and transfer codings
- * other than chunked.
+ * than one Host field, Content-Length together with chunked coding, transfer codings
+ * other than chunked, and status codes that are none.
  */
 #ifndef FQ_HTTP_READER_H
 #define FQ_HTTP_READER_H
