Don't take an early success that ends with its connection for complete

The client gets that part as a complete answer.

Cause: the end of the connection completes an answer without a length. Where the server ends its output first and resets the connection a little later, the end is all that the node has seen when it passes the answer on. A reset that comes first was told from it before.

Change: a success without a length is complete at the end of the connection only when the request has been sent. Failures are passed on as before, as their status is what counts.

Tests: test_early_answer_that_is_cut_is_not_complete, 3 of 9 cases failed before (end of output, then a reset; the server reads for 0, 20 or 100 ms); test_early_answer_with_a_length_is_complete, 9 of 9 held before and after.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -11,6 +11,7 @@
 #define FQ_OTHER_ANSWERS_MAX 8
 /* Idle connections are closed this long before the Keep-Alive timeout of the server. */
 #define FQ_KEEP_ALIVE_MARGIN_MS 1500
+#define FQ_STATUS_SUCCESS_MAX 299
 
 /* A connection and its current call, if any. */
 struct fq_http_call
@@ -225,6 +226,18 @@
     }
 }
 
+/* Whether the end of the connection completes an answer without a length. While the
+ * request is still being sent, it may also come from a server that breaks off, so a
+ * success counts only if the server has let the request be sent. */
+static bool
+is_completed_by_end (fq_http_call_t *call)
+{
+  if (call->handlers == NULL || fq_http_reader_end (&call->reader) != FQ_HTTP_COMPLETE
+      || match_answer (call) == FQ_HTTP_MATCH_OTHER)
+    return false;
+  return call->output_sent || call->reader.message->status > FQ_STATUS_SUCCESS_MAX;
+}
+
 static void
 on_ended (void *context, fq_stream_end_t end)
 {
@@ -242,8 +255,7 @@
     case FQ_STREAM_END_CLEAN:
       break;
     }
-  if (call->handlers != NULL && fq_http_reader_end (&call->reader) == FQ_HTTP_COMPLETE
-      && match_answer (call) != FQ_HTTP_MATCH_OTHER)
+  if (is_completed_by_end (call))
     finish_call (call, true);
   else
     fail_call (call, call->answer_started ? FQ_HTTP_FAILURE_MALFORMED_ANSWER
--- a/tests/http/test_sockets.c
+++ b/tests/http/test_sockets.c
@@ -17,6 +17,7 @@
 
 #define HEAD_TIMEOUT_MS 150
 #define RECEIVED_MAX 8192
+#define UPLOAD_BYTES ((size_t)32 << 20) /* more than the buffers of a connection */
 
 static struct ev_loop *loop;
 static fq_io_t io;
@@ -361,6 +362,7 @@
   ck_assert_int_eq (listen (listen_fd, 8), 0);
 }
 
+static size_t request_body_bytes; /* of the next calls */
 static char outcome[64]; /* of the last call: body of the answer, or the failure */
 
 static fq_http_match_t
@@ -403,8 +405,10 @@
   fq_http_call_options_t options = { .timeout_ms = 400 };
   fq_http_call_t *started;
 
-  strcpy (request->method, "GET");
+  strcpy (request->method, request_body_bytes == 0 ? "GET" : "POST");
   request->target = strdup ("/");
+  if (request_body_bytes > 0)
+    ck_assert_int_eq (fq_blob_new (&request->body, NULL, request_body_bytes), 0);
   strcpy (outcome, "none");
   ck_assert_int_eq (
       fq_http_client_call (&started, client, request, &options, &call_handlers, NULL), 0);
@@ -510,6 +514,71 @@
 }
 END_TEST
 
+/* How a server that has not read the whole request ends the connection. */
+static void
+end_early (int fd, char how)
+{
+  switch (how)
+    {
+    case 'r': /* resets it */
+      reset_connection (fd);
+      break;
+    case 'c': /* closes it with input unread, which resets it too */
+      close (fd);
+      break;
+    case 'h': /* ends its output, and resets the connection a little later */
+      shutdown (fd, SHUT_WR);
+      run_for (0.05);
+      reset_connection (fd);
+      break;
+    default:
+      ck_abort ();
+    }
+}
+
+/* The server answers an upload with @answer when it has read some of it, and ends the
+ * connection. */
+static void
+answer_upload_early (const char *answer, int variant)
+{
+  static const char how[] = "rch";
+  static const double read_for[] = { 0, 0.02, 0.1 };
+  fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
+  fq_http_client_t *client;
+  char received[RECEIVED_MAX];
+  int fd;
+
+  request_body_bytes = UPLOAD_BYTES;
+  open_byte_server ();
+  ck_assert_int_eq (fq_http_client_new (&client, &io, &address, &options), 0);
+  start_call (client);
+  fd = accept (listen_fd, NULL, NULL);
+  ck_assert_int_gt (recv (fd, received, sizeof received, 0), 0);
+  send_text (fd, answer);
+  run_for (read_for[variant / 3]);
+  end_early (fd, how[variant % 3]);
+  run_for (0.2);
+  fq_http_client_free (client);
+  close (listen_fd);
+}
+
+/* Guards against an answer without a length that was cut while the request was still
+ * being sent, and was taken for a complete one. */
+START_TEST (test_early_answer_that_is_cut_is_not_complete)
+{
+  answer_upload_early ("HTTP/1.1 200 OK\r\nId: new\r\n\r\nab", _i);
+  ck_assert_str_eq (outcome, "malformed");
+}
+END_TEST
+
+/* A complete one counts, however the connection ends. */
+START_TEST (test_early_answer_with_a_length_is_complete)
+{
+  answer_upload_early ("HTTP/1.1 503 Busy\r\nId: new\r\nContent-Length: 2\r\n\r\nab", _i);
+  ck_assert_str_eq (outcome, "ab");
+}
+END_TEST
+
 START_TEST (test_call_without_listener_fails_to_connect)
 {
   fq_http_client_options_t options = FQ_HTTP_CLIENT_OPTIONS_INIT;
@@ -566,6 +635,8 @@
   tcase_add_test (tcase, test_expect_100_continue_gets_interim_answer);
   tcase_add_loop_test (tcase, test_call_ends_with_answer_or_failure, 0,
                        sizeof exchanges / sizeof exchanges[0]);
+  tcase_add_loop_test (tcase, test_early_answer_that_is_cut_is_not_complete, 0, 9);
+  tcase_add_loop_test (tcase, test_early_answer_with_a_length_is_complete, 0, 9);
   tcase_add_test (tcase, test_call_without_listener_fails_to_connect);
   tcase_add_test (tcase, test_idle_connection_with_unexpected_bytes_is_not_reused);
   suite_add_tcase (suite, tcase);
