--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -344,6 +344,47 @@
 }
 END_TEST
 
+/* Guards against one odd row of another writer that keeps nodes from reading the others.
+ */
+static const char *const odd_rows[] = {
+  "{}",
+  "7",
+  "null",
+  "[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]",
+  "{\"key\":\"a\\u0000b\",\"value\":\"YWI=\",\"ver\":1}",
+  "{\"key\":\"\",\"value\":\"YWI=\",\"ver\":1}",
+  "{\"key\":7,\"value\":\"YWI=\",\"ver\":1}",
+  "{\"key\":\"a\",\"value\":\"YWI=\",\"ver\":-1}",
+  "{\"key\":\"a\",\"value\":\"YWI=\",\"ver\":1.5}",
+  "{\"key\":\"a\",\"value\":\"=\",\"ver\":1}",
+  "{\"key\":\"a\",\"value\":[[[]]],\"ver\":1}",
+  "{\"key\":\"0123456789012345678901234567890123456789012345678901234567890123456789"
+  "0123456789012345678901234567890123456789\",\"value\":\"YWI=\",\"ver\":1}",
+};
+
+START_TEST (test_odd_row_does_not_hide_the_others)
+{
+  static const char good[] = "{\"key\":\"10.0.0.%d\",\"value\":\"YWI=\",\"ver\":3}";
+  fq_http_message_t *answer = fq_http_message_new ();
+  fq_platform_rows_t rows;
+  char body[1024];
+  char row[2][64];
+
+  for (int i = 0; i < 2; i++)
+    snprintf (row[i], sizeof row[i], good, i);
+  snprintf (body, sizeof body, "{\"rows\":[%s,%s,%s],\"ver\":9}", row[0], odd_rows[_i],
+            row[1]);
+  answer->status = 200;
+  ck_assert_int_eq (fq_blob_new (&answer->body, body, strlen (body)), 0);
+  ck_assert_int_eq (fq_platform_parse_rows (&rows, answer), 0);
+  ck_assert_uint_eq (rows.count, 2);
+  ck_assert_str_eq (rows.rows[0].key, "10.0.0.0");
+  ck_assert_str_eq (rows.rows[1].key, "10.0.0.1");
+  fq_platform_rows_clear (&rows);
+  fq_http_message_unref (answer);
+}
+END_TEST
+
 START_TEST (test_malformed_rows_are_an_error_and_not_an_empty_list)
 {
   static const char *const bodies[] = { "", "{", "{}", "{\"rows\":{}}", "{\"rows\":[]}" };
@@ -407,6 +448,8 @@
                        sizeof notices / sizeof notices[0]);
   tcase_add_test (tcase, test_local_answer_has_retry_after);
   tcase_add_test (tcase, test_valid_rows_are_parsed);
+  tcase_add_loop_test (tcase, test_odd_row_does_not_hide_the_others, 0,
+                       sizeof odd_rows / sizeof odd_rows[0]);
   tcase_add_loop_test (tcase, test_malformed_rows_are_an_error_and_not_an_empty_list, 0,
                        5);
   tcase_add_loop_test (tcase, test_era_of_store_is_parsed, 0,
