--- a/tests/http/test_endless_answers.c
+++ b/tests/http/test_endless_answers.c
@@ -42,6 +42,9 @@
   { "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" },
   { "", "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 4\r\n\r\nbody" },
   { "", "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n" },
+  { "", "no line end" },
+  { "HTTP/1.1 200 OK\r\nX-Field: ", "value" },
+  { "HTTP/1.1 000 OK\r\n\r\n", "................" },
 };
 
 static struct ev_loop *loop;
