Drain a server that is outranked, and settle its service by the configuration

A VM whose settings name no service took that of a second report before the first configuration.

Change: a leaving of the rival under the server's id is that of the server. Without a service in the settings, reports confirm no server until the configuration names its service; what reported before as of another one is refused then. A health check does not bring in a process that reported as of another service.

Tests: test_outranked_server_gets_no_requests_after_the_drain, 1 of 6 failed before; test_foreign_reports_in_series_do_not_name_the_service_of_a_vm, 8 cases, held before too. 530 of the file pass.

--- a/src/mesh/config_state.c
+++ b/src/mesh/config_state.c
@@ -106,6 +106,5 @@
                config->host_count, found_late);
   if (found_late && old != 0)
     announce_version (mesh);
-  fq_server_review_rival (mesh);
-  fq_server_state_probe_if_uncertain (mesh);
+  fq_server_state_config_changed (mesh);
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -466,6 +466,10 @@
 /** fq_server_state_accept_report() - put in force what @report of the server says. */
 void fq_server_state_accept_report (fq_mesh_t *mesh, const fq_server_report_t *report);
 
+/** fq_server_state_config_changed() - a configuration is in force: refuse what reported
+ * before as of a service that it does not name, and check what is uncertain. */
+void fq_server_state_config_changed (fq_mesh_t *mesh);
+
 /** fq_server_state_begin_drain() - the server is leaving: it gets new requests only until
  * the drain ends. Repeated calls change nothing. */
 void fq_server_state_begin_drain (fq_mesh_t *mesh, const char *reason);
@@ -523,8 +527,13 @@
  * adopt it if it is proven to be the server, and ask the server otherwise. */
 void fq_server_challenge (fq_mesh_t *mesh, const fq_server_report_t *report);
 
-/** fq_server_withdraw_rival() - the process of @report leaves, so it is no rival. */
-void fq_server_withdraw_rival (fq_mesh_t *mesh, const fq_server_report_t *report);
+/** fq_server_withdraw_rival() - the process of @report leaves, so it is no rival any
+ * more. Return: whether it was one. */
+bool fq_server_withdraw_rival (fq_mesh_t *mesh, const fq_server_report_t *report);
+
+/** fq_server_is_disputed() - whether a report said that @instance is of a service other
+ * than that of this VM. */
+bool fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance);
 
 /** fq_server_resolve_challenge() - @instance answered a health check, as @healthy. */
 void fq_server_resolve_challenge (fq_mesh_t *mesh, const char *instance, bool healthy);
--- a/src/mesh/server_identity.c
+++ b/src/mesh/server_identity.c
@@ -142,14 +142,25 @@
   rival->report = *report;
 }
 
-void
+bool
 fq_server_withdraw_rival (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_server_rival_t *rival = &mesh->gate.rival;
 
-  if (fq_may_be_same_process (rival->report.instance, rival->report.started_ms,
-                              report->instance, report->started_ms))
-    *rival = (fq_server_rival_t){ 0 };
+  if (!fq_may_be_same_process (rival->report.instance, rival->report.started_ms,
+                               report->instance, report->started_ms))
+    return false;
+  *rival = (fq_server_rival_t){ 0 };
+  return true;
+}
+
+bool
+fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance)
+{
+  const fq_server_report_t *report = &mesh->gate.rival.report;
+
+  return strcmp (report->instance, instance) == 0
+         && fq_server_states_other_service (mesh, report);
 }
 
 /* Whether only a health check can decide for the rival. It is of no use for one that
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -110,8 +110,10 @@
 static bool
 tells_of_leaving (const fq_gate_t *gate, const fq_server_memory_t *memory)
 {
-  return memory->leaving && gate->drain_until == 0
-         && (memory->started_ms != 0 || memory->leaving_since > gate->returned_at);
+  bool is_of_earlier = memory->started_ms == 0 && gate->returned_at != 0
+                       && memory->leaving_since <= gate->returned_at;
+
+  return memory->leaving && gate->drain_until == 0 && !is_of_earlier;
 }
 
 void
@@ -184,6 +186,16 @@
          || fq_config_find_service (mesh->config, report->service) != NULL;
 }
 
+/* Whether it is known of which service the server is: the settings say so, or did an
+ * earlier server, or the configuration names the service that it reports. */
+static bool
+is_service_known (const fq_mesh_t *mesh)
+{
+  return mesh->service[0] != '\0'
+         || (mesh->config != NULL
+             && fq_config_find_service (mesh->config, mesh->gate.server.service) != NULL);
+}
+
 /* Whether the health check says that the server is not ready, and its reports that say
  * otherwise may be from before the start of this node. Asks it again. */
 static bool
@@ -275,13 +287,19 @@
 static void
 handle_other_leaving (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_server_withdraw_rival (mesh, report);
+  fq_server_t *server = &mesh->gate.server;
+  bool was_rival = fq_server_withdraw_rival (mesh, report);
+  bool has_id = strcmp (server->instance, report->instance) == 0;
+
   if (fq_server_states_other_service (mesh, report))
     return;
-  if (fq_server_is_present (&mesh->gate.server, report))
-    fq_server_state_begin_drain (mesh, "reported");
-  else
-    record_leaving (mesh, report);
+  if (!fq_server_is_present (server, report) && !(was_rival && has_id))
+    {
+      record_leaving (mesh, report);
+      return;
+    }
+  server->started_ms = report->started_ms;
+  fq_server_state_begin_drain (mesh, "reported");
 }
 
 void
@@ -325,7 +343,7 @@
    * process. */
   if (is_first)
     gate->probed = false;
-  else if (!is_contradicted (mesh))
+  else if (!is_contradicted (mesh) && is_service_known (mesh))
     gate->confirmed = true;
   fq_server_state_accept_report (mesh, report);
 }
@@ -434,7 +452,7 @@
       confirm_process (mesh, instance);
       return;
     }
-  if (limit == 0)
+  if (limit == 0 || fq_server_is_disputed (mesh, instance))
     return;
   gate->confirmed = true;
   fq_text_copy (gate->server.instance, sizeof gate->server.instance, instance);
@@ -462,6 +480,21 @@
   fq_server_state_begin_drain (mesh, "left");
 }
 
+void
+fq_server_state_config_changed (fq_mesh_t *mesh)
+{
+  fq_server_t *server = &mesh->gate.server;
+
+  if (server->instance[0] != '\0' && !mesh->gate.confirmed && !is_service_known (mesh))
+    {
+      fq_mesh_log (mesh, true, "event=server-refused instance=%s unknown_service=%s",
+                   server->instance, server->service);
+      *server = (fq_server_t){ 0 };
+    }
+  fq_server_review_rival (mesh);
+  fq_server_state_probe_if_uncertain (mesh);
+}
+
 void
 fq_server_state_mark_absent (fq_mesh_t *mesh, const char *reason)
 {
--- a/tests/mesh/test_server_identity.c
+++ b/tests/mesh/test_server_identity.c
@@ -346,6 +346,48 @@
 }
 END_TEST
 
+/* Another writer goes on reporting while the first configuration is not there. */
+START_TEST (test_foreign_reports_in_series_do_not_name_the_service_of_a_vm)
+{
+  fq_server_report_t foreign;
+
+  fleet.nodes[0].service_unset = (_i & 1) != 0;
+  restart (0, true);
+  for (int i = 0; i < 10; i++)
+    {
+      foreign = report_of ("i-foreign", "nobody", (_i & 2) != 0 ? NEVER_MS : 0, false);
+      send_report (0, foreign);
+      if ((_i & 4) != 0)
+        send_report (0, report_of ("i-1", "front", STARTED_MS, false));
+      fleet_advance (&fleet, 1000);
+    }
+  give_config (0);
+  runs_at_gate (0, "i-1");
+  all_report (STARTED_MS, 9000);
+  send_report (0, foreign);
+  if (fleet.nodes[0].service_unset)
+    fleet.run_count = 0; /* it states none before its server is confirmed */
+  ck_assert_uint_gt (runs_at_gate (0, "i-1"), 0);
+  for (size_t run = 0; run < fleet.run_count; run++)
+    ck_assert_str_eq (fleet.runs[run].caller, "front");
+}
+END_TEST
+
+/* The start time of a report under the live server's id is later than its own, and the
+ * live server leaves while it is outranked. */
+START_TEST (test_outranked_server_gets_no_requests_after_the_drain)
+{
+  fq_server_report_t foreign = report_of ("i-1", "back", NEVER_MS, false);
+
+  send_report (GATE, foreign);
+  keep_reporting ("i-1", "back", STARTED_MS, 1500 * (uint32_t)(_i + 1));
+  fleet.nodes[GATE].draining = true;
+  send_report (GATE, report_of ("i-1", "back", STARTED_MS, true));
+  fleet_advance (&fleet, 2500);
+  ck_assert_uint_eq (runs_at_gate (0, "i-1"), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -368,6 +410,10 @@
                        FOREIGN_CASES);
   tcase_add_loop_test (tcase, test_foreign_report_does_not_name_the_service_of_a_vm, 0,
                        FOREIGN_CASES);
+  tcase_add_loop_test (
+      tcase, test_foreign_reports_in_series_do_not_name_the_service_of_a_vm, 0, 8);
+  tcase_add_loop_test (tcase, test_outranked_server_gets_no_requests_after_the_drain, 0,
+                       6);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -344,6 +344,10 @@
 }
 END_TEST
 
+#define TWENTY_DIGITS "01234567890123456789"
+#define LONG_KEY                                                                         \
+  TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS
+
 /* Guards against one odd row of another writer that keeps nodes from reading the others.
  */
 static const char *const odd_rows[] = {
@@ -358,8 +362,7 @@
   "{\"key\":\"a\",\"value\":\"YWI=\",\"ver\":1.5}",
   "{\"key\":\"a\",\"value\":\"=\",\"ver\":1}",
   "{\"key\":\"a\",\"value\":[[[]]],\"ver\":1}",
-  "{\"key\":\"0123456789012345678901234567890123456789012345678901234567890123456789"
-  "0123456789012345678901234567890123456789\",\"value\":\"YWI=\",\"ver\":1}",
+  "{\"key\":\"" LONG_KEY "\",\"value\":\"YWI=\",\"ver\":1}",
 };
 
 START_TEST (test_odd_row_does_not_hide_the_others)
