Make two tests set up what they mean to check, also on a busy machine

- The slow reader slept a fixed time after each read, so that its stated 3 MB/s sank with the load and an answer took longer than the grace.
It now reads at the stated pace by the clock, catching up when it was held up.
- The nodes were frozen 0.1 s after the requests were started.
The logs of the failed ones say end=not-run cause=gate-lost: they had not been granted when the gates froze, and their 503 is right.
The test now freezes the nodes when all twenty requests have reached a server; the servers work for 1 s, so that they are still there.

The checks are the same.

--- a/standins/slow_reader.c
+++ b/standins/slow_reader.c
@@ -24,6 +24,7 @@
 #define RECEIVE_BUFFER_BYTES 32768
 #define READS_PER_SECOND 250
 #define TIMEOUT_MS 20000
+#define NANOSECONDS_PER_SECOND 1000000000L
 
 typedef struct
 {
@@ -88,27 +89,57 @@
   return answer->head_complete && answer->got >= answer->length;
 }
 
+static double
+seconds_since (const struct timespec *begun)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)(now.tv_sec - begun->tv_sec)
+         + (double)(now.tv_nsec - begun->tv_nsec) / NANOSECONDS_PER_SECOND;
+}
+
+/* Bytes that may be read now for a pace of @bytes_per_s since @begun. A reader that was
+ * held up catches up, so that an answer takes as long on a busy machine. */
+static size_t
+due_bytes (const struct timespec *begun, size_t bytes_per_s, size_t got)
+{
+  size_t allowed
+      = (size_t)((seconds_since (begun) + 1. / READS_PER_SECOND) * (double)bytes_per_s);
+
+  if (allowed <= got)
+    return 0;
+  return allowed - got < READ_BYTES ? allowed - got : READ_BYTES;
+}
+
 static void
 read_answer (int fd, size_t bytes_per_s, answer_t *answer)
 {
   static char data[READ_BYTES];
-  const struct timespec pause = { .tv_nsec = 1000000000L / READS_PER_SECOND };
-  size_t most = bytes_per_s / READS_PER_SECOND;
+  const struct timespec pause = { .tv_nsec = NANOSECONDS_PER_SECOND / READS_PER_SECOND };
+  struct timespec begun;
+  size_t got = 0;
 
-  if (most == 0 || most > sizeof data)
-    most = most == 0 ? 1 : sizeof data;
+  clock_gettime (CLOCK_MONOTONIC, &begun);
   while (!is_complete (answer))
     {
-      ssize_t count = read (fd, data, most);
+      size_t due = due_bytes (&begun, bytes_per_s, got);
+      ssize_t count;
 
+      if (due == 0)
+        {
+          nanosleep (&pause, NULL);
+          continue;
+        }
+      count = read (fd, data, due);
       if (count < 0 && errno == EINTR)
         continue;
       if (count < 0)
         perror ("fq-standin-slow_reader: read");
       if (count <= 0)
         return;
+      got += (size_t)count;
       answer->got += (size_t)count - take_head (answer, data, (size_t)count);
-      nanosleep (&pause, NULL);
     }
 }
 
--- a/tests/process/test_work_of_silent_node_is_kept.sh
+++ b/tests/process/test_work_of_silent_node_is_kept.sh
@@ -8,11 +8,16 @@
 start_store
 put_config 1 4s
 start_machine 1 front 20
-start_machine 2 back 400
-start_machine 3 back 400
+start_machine 2 back 1000
+start_machine 3 back 1000
 wait_for 5 serves_from 1 || fail "the service is not served"
 
-# freeze PREFIX PID...: twenty requests, 0.1 s later these nodes stand still for 1.6 s.
+all_run () # PREFIX
+{
+  [ "$(cat "$work"/s[23].log | grep -c "^run $1[0-9]")" = 20 ]
+}
+
+# freeze PREFIX PID...: twenty requests; when all are at their servers, these nodes stand still for 1.6 s.
 freeze ()
 {
   local prefix=$1 i pids_sent=()
@@ -21,7 +26,7 @@
     send 1 "/once/$prefix$i" "$prefix$i" -d x >"$work/status.$prefix$i" &
     pids_sent+=($!)
   done
-  sleep 0.1
+  wait_for 4 all_run "$prefix" || fail "not all twenty requests reach a server"
   kill -STOP "$@"
   sleep 1.6
   kill -CONT "$@"
