Give the stand-in of test_store_client a port that no connection takes

The test took a free port of the ephemeral range and released it before the stand-in was started, so any connection on the machine could take it meanwhile; that did not happen in 3 runs beside four processes that open and close connections all the time.

Change: ports above the ephemeral range, and another one if the stand-in ends before it listens. 6 runs at the same time pass.

--- a/tests/net/test_store_client.c
+++ b/tests/net/test_store_client.c
@@ -34,18 +34,38 @@
 static bool control_done;
 static json_t *control_json;
 
-static int
-find_free_port (void)
+/* Above the ephemeral ports, which any connection on the machine may take before the
+ * stand-in has the port. */
+#define PORT_FIRST 61000
+#define PORT_COUNT 4000
+#define PORT_TRIES 20
+
+static bool
+is_free (int port)
 {
-  struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t length = sizeof at;
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int rc;
 
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (fd, (struct sockaddr *)&at, sizeof at), 0);
-  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&at, &length), 0);
+  rc = bind (fd, (struct sockaddr *)&at, sizeof at);
   close (fd);
-  return ntohs (at.sin_port);
+  return rc == 0;
+}
+
+static int
+find_free_port (void)
+{
+  static int offset;
+
+  for (int tries = 0; tries < PORT_COUNT; tries++)
+    {
+      int port = PORT_FIRST + (getpid () + offset++) % PORT_COUNT;
+
+      if (is_free (port))
+        return port;
+    }
+  ck_abort_msg ("no free port");
 }
 
 static void
@@ -105,12 +125,12 @@
   return rc == 0;
 }
 
-static void
-start_platform (void)
+/* Whether the stand-in serves @port; false: it ended, as another process has the port. */
+static bool
+start_platform_at (int port)
 {
   char argument[FQ_NAME_BYTES];
   char *arguments[] = { "fq-standin-platform", argument, NULL };
-  int port = find_free_port ();
 
   snprintf (argument, sizeof argument, "port=%d", port);
   snprintf (address, sizeof address, "127.0.0.1:%d", port);
@@ -118,7 +138,24 @@
                                  arguments, environ),
                     0);
   for (int tries = 0; tries < 200 && !is_listening (port); tries++)
-    usleep (20000);
+    {
+      if (waitpid (platform_pid, NULL, WNOHANG) != 0)
+        return false;
+      usleep (20000);
+    }
+  return true;
+}
+
+/* A free port may be taken before the stand-in has it. */
+static void
+start_platform (void)
+{
+  for (int tries = 0; tries < PORT_TRIES; tries++)
+    {
+      if (start_platform_at (find_free_port ()))
+        return;
+    }
+  ck_abort_msg ("the stand-in of the platform finds no free port");
 }
 
 static void
