Offer the limited server's test a load that the servers can take

Traced with the logs of both entries, on a quiet machine: 93 and 94 % of 60 to 76 requests a second; 66 of 70 that failed end with cause=no-room, in each second from the limit on. Two servers, one limited to 10 a second, the other with 19 of its slots at 350 ms, take 64. The rate of 40 from each front was never reached where the test was written, as each request costs a process.

Change: 27 from each, as the test's comment means: all together nearly fill one server. The checks are the same.

--- a/tests/process/test_limited_server_gets_more_than_it_stated.sh
+++ b/tests/process/test_limited_server_gets_more_than_it_stated.sh
@@ -6,12 +6,15 @@
 
 # So long that each server alone would be nearly full: below that the balancer may prefer either.
 work_ms=350
+# Requests a second from each front. Beside a limit of 10 the other server gets 44, of which 15 run at once;
+# its gate lets 19 run.
+rate=27
 limit=10
 allowed=$((limit * 4 * 3 / 2 + 5)) # in 4 s: one and a half times the limit, and 5 requests
 start_two_fronts_and_backs "$work_ms"
 
-offer_load 1 a 13 40 &
-offer_load 4 b 13 40 &
+offer_load 1 a 13 $rate &
+offer_load 4 b 13 $rate &
 load=$!
 sleep 1
 state 2 Server-Limit=$limit
