Count bodies in chunks as they arrive

Cause: each body without a length was compared with the limit on bodies alone, until it was complete.

Change: what is received of it counts with all other bodies; a body that does not fit any more is answered 503.

--- a/include/filbertquay/blob.h
+++ b/include/filbertquay/blob.h
@@ -34,7 +34,16 @@
  */
 void fq_blob_set_limit (size_t bytes);
 
-/** fq_blob_live_bytes() - total size in bytes of all blobs of the process. */
+/**
+ * fq_blob_recount() - count bytes that are no blob yet, such as the received part of a
+ * body whose size is not known, like blobs.
+ * @before: how many of the caller's are counted now
+ * @after: how many are counted from now on
+ */
+void fq_blob_recount (size_t before, size_t after);
+
+/** fq_blob_live_bytes() - total size in bytes of all blobs of the process, with what
+ * fq_blob_recount() counts. */
 size_t fq_blob_live_bytes (void);
 
 /**
--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -249,6 +249,14 @@
   return reader->answers_head_request ? 1 : 0;
 }
 
+/* All bodies that are being received count together, also those without a length. */
+static void
+count_body_buffer (fq_http_reader_t *reader)
+{
+  fq_blob_recount (reader->body_counted, reader->body_buffer.capacity);
+  reader->body_counted = reader->body_buffer.capacity;
+}
+
 static int
 on_body (http_parser *parser, const char *at, size_t length)
 {
@@ -262,10 +270,10 @@
     }
   if (fq_buffer_size (&reader->body_buffer) + length > reader->limits.body_bytes)
     return fail (reader, FQ_STATUS_BODY_TOO_LARGE, "body exceeds the size limit");
-  if (!fq_blob_fits (fq_buffer_size (&reader->body_buffer) + length,
-                     FQ_BODY_MEMORY_PERCENT))
+  if (!fq_blob_fits (length, FQ_BODY_MEMORY_PERCENT))
     return fail (reader, FQ_STATUS_UNAVAILABLE, "not enough memory for the body");
   fq_buffer_add (&reader->body_buffer, at, length);
+  count_body_buffer (reader);
   return 0;
 }
 
@@ -281,6 +289,7 @@
              < 0)
     return fail (reader, FQ_STATUS_UNAVAILABLE, "not enough memory for the body");
   fq_buffer_clear (&reader->body_buffer);
+  count_body_buffer (reader);
   reader->is_complete = true;
   reader->keep_alive = http_should_keep_alive (parser) != 0;
   http_parser_pause (parser, 1);
@@ -322,6 +331,7 @@
   reader->connection_options = NULL;
   fq_buffer_clear (&reader->head);
   fq_buffer_clear (&reader->body_buffer);
+  count_body_buffer (reader);
   fq_buffer_clear (&reader->fields);
 }
 
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -43,6 +43,7 @@
   fq_http_limits_t limits;
   fq_buffer_t head;           /* the head as far as it was received */
   fq_buffer_t body_buffer;    /* received part of a body without Content-Length */
+  size_t body_counted;        /* capacity of @body_buffer that counts as blobs */
   fq_http_message_t *message; /* being read; NULL: none */
   fq_buffer_t fields;         /* end-to-end field lines of @message */
   size_t body_received;       /* bytes of a body with Content-Length */
--- a/src/util/blob.c
+++ b/src/util/blob.c
@@ -20,6 +20,12 @@
   return bytes_live;
 }
 
+void
+fq_blob_recount (size_t before, size_t after)
+{
+  bytes_live = bytes_live - before + after;
+}
+
 bool
 fq_blob_fits (size_t size, unsigned int percent)
 {
--- a/tests/http/test_reader.c
+++ b/tests/http/test_reader.c
@@ -2,6 +2,7 @@
  * DOC: Tests of the HTTP reader: message boundaries, and rejection of malformed input.
  */
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -258,6 +259,64 @@
 }
 END_TEST
 
+#define UPLOADS 16
+#define CHUNK_BYTES 50
+#define MEMORY_BYTES 4096
+
+/* Feeds one more chunk of a body to @reader. */
+static fq_http_progress_t
+feed_chunk (fq_http_reader_t *reader)
+{
+  char chunk[CHUNK_BYTES + 16];
+  size_t used;
+
+  snprintf (chunk, sizeof chunk, "%x\r\n%0*d\r\n", CHUNK_BYTES, CHUNK_BYTES, 0);
+  return fq_http_reader_feed (reader, (const uint8_t *)chunk, strlen (chunk), &used);
+}
+
+/* Guards against review/4 (LOST): of bodies in chunks, each counted by itself until it
+ * was complete, so that many at once took the process past its memory. */
+START_TEST (test_bodies_in_chunks_count_together)
+{
+  static const char head[]
+      = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const fq_http_limits_t one_mb = { .head_bytes = 512, .body_bytes = 1 << 20 };
+  fq_http_reader_t readers[UPLOADS];
+  size_t held = 0;
+  size_t rejected = 0;
+  size_t used;
+
+  fq_blob_set_limit (MEMORY_BYTES);
+  for (size_t i = 0; i < UPLOADS; i++)
+    {
+      fq_http_reader_init (&readers[i], FQ_HTTP_REQUESTS, &one_mb);
+      fq_http_reader_feed (&readers[i], (const uint8_t *)head, strlen (head), &used);
+    }
+  for (int round = 0; round < 20; round++)
+    {
+      for (size_t i = 0; i < UPLOADS; i++)
+        {
+          if (readers[i].error_status != 0)
+            continue;
+          if (feed_chunk (&readers[i]) != FQ_HTTP_REJECTED)
+            continue;
+          ck_assert_uint_eq (readers[i].error_status, 503);
+          fq_http_reader_clear (&readers[i]);
+          rejected++;
+        }
+    }
+  for (size_t i = 0; i < UPLOADS; i++)
+    held += fq_http_reader_body_bytes (&readers[i]);
+  ck_assert_uint_le (held, MEMORY_BYTES);
+  ck_assert_uint_gt (held, 0);
+  ck_assert_uint_gt (rejected, 0);
+  for (size_t i = 0; i < UPLOADS; i++)
+    fq_http_reader_clear (&readers[i]);
+  ck_assert_uint_eq (fq_blob_live_bytes (), 0);
+  fq_blob_set_limit (0);
+}
+END_TEST
+
 START_TEST (test_fields_are_found_dropped_and_added)
 {
   fq_http_message_t *message = fq_http_message_new ();
@@ -291,6 +350,7 @@
   tcase_add_test (tcase, test_nul_in_the_target_is_rejected);
   tcase_add_loop_test (tcase, test_answers_are_complete_or_not, 0,
                        sizeof answers / sizeof answers[0]);
+  tcase_add_test (tcase, test_bodies_in_chunks_count_together);
   tcase_add_test (tcase, test_fields_are_found_dropped_and_added);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
