Admit no more bodies to a gate than its memory holds

Cause: a gate admitted requests by slots alone, and the limit of each entry does not bound what several send.

Change: offers state the size of their body, and a gate refuses one (no-memory) when the bodies of all that it has admitted would take more than a fourth of its memory. Refused requests have not run.

--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -86,6 +86,7 @@
   offer->chain = exchange->chain;
   offer->fingerprint = exchange->fingerprint;
   offer->idempotent = exchange->idempotent;
+  offer->body_bytes = fq_http_message_body_size (exchange->message);
   offer->repeat = exchange->servers_reached > 0 || exchange->repeat_of_parent;
 }
 
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -15,6 +15,7 @@
   [FQ_GATE_CAUSE_CRASHES_SERVERS] = "crashes-servers",
   [FQ_GATE_CAUSE_RATE_LIMITED] = "rate-limit",
   [FQ_GATE_CAUSE_ISOLATED] = "isolated",
+  [FQ_GATE_CAUSE_NO_MEMORY] = "no-memory",
 };
 
 static const char *const phase_names[] = {
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -64,6 +64,7 @@
   FQ_GATE_CAUSE_RATE_LIMITED, /* its wait for the server's rate limit was or would be too
                                * long */
   FQ_GATE_CAUSE_ISOLATED,     /* another request that may crash servers was running */
+  FQ_GATE_CAUSE_NO_MEMORY,    /* the bodies at the gate leave no memory for this one */
   FQ_GATE_CAUSE_COUNT,
 } fq_gate_cause_t;
 
@@ -122,6 +123,7 @@
   bool idempotent;
   /* An earlier attempt reached a server, or the run that makes this call is a repeat. */
   bool repeat;
+  uint64_t body_bytes; /* of its body, which the gate has to hold */
 } fq_offer_t;
 
 /** struct fq_frame_t - one frame; fields that its kind does not use are zero. */
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -116,6 +116,7 @@
   fq_map_remove (&mesh->gate.runs_by_attempt,
                  attempt_key (run->entry_connection, run->attempt));
   fq_timers_cancel (&mesh->timers, &run->timer);
+  mesh->gate.body_bytes -= run->offer.body_bytes;
   fq_list_remove (&run->link);
   fq_http_message_unref (run->message);
   free (run);
@@ -341,6 +342,7 @@
   run->arrived = mesh->now;
   run->deadline
       = mesh->now + (fq_time_t)frame->offer.remaining_ms * FQ_MICROSECONDS_PER_MS;
+  mesh->gate.body_bytes += run->offer.body_bytes;
   run->queue_entry.rank = rank;
   run->queue_entry.route = frame->offer.route;
   run->timer.kind = FQ_MESH_TIMER_RUN;
--- a/src/mesh/gate_admission.c
+++ b/src/mesh/gate_admission.c
@@ -76,6 +76,18 @@
                                offer->chain, wait, run);
 }
 
+/* Whether the bodies of all admitted requests fit into the memory that is left to them.
+ * Those that wait count too: their entries send them as soon as they are granted. */
+static bool
+has_memory (const fq_mesh_t *mesh, const fq_offer_t *offer)
+{
+  uint64_t most = mesh->params.body_bytes_max;
+  uint64_t held = mesh->gate.body_bytes;
+
+  return most == 0 || offer->body_bytes == 0
+         || (held <= most && offer->body_bytes <= most - held);
+}
+
 static fq_gate_cause_t
 check_capacity (fq_mesh_t *mesh, const fq_offer_t *offer)
 {
@@ -84,6 +96,8 @@
 
   if (offer->remaining_ms == 0)
     return FQ_GATE_CAUSE_EXPIRED;
+  if (!has_memory (mesh, offer))
+    return FQ_GATE_CAUSE_NO_MEMORY;
   if ((wait > 0 && wait > fq_gate_max_wait (mesh, offer))
       || !admits_chain (mesh, offer, wait))
     return fq_gate_queue_rate_wait (queue, offer->rank) == wait && wait > 0
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -27,6 +27,7 @@
   double retry_ratio; /* retries allowed, as a share of the first arrivals at a service's
                          gates */
   uint32_t retry_window_ms; /* over which retries are counted; not 0 */
+  uint64_t body_bytes_max;  /* of all requests at the gate together; 0: no limit */
   double retry_slack;       /* retries allowed in addition to the share, over all nodes */
 } fq_mesh_params_t;
 
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -208,6 +208,7 @@
   fq_map_t runs_by_request;         /* at the server; key: hash of the request's id */
   fq_map_t runs_by_attempt;         /* key: hash of connection and attempt */
   fq_repeat_budget_t budget;        /* for repeats of requests at the server */
+  uint64_t body_bytes;              /* of the requests of all runs */
   uint32_t held;                    /* runs that are crash suspects and wait */
   fq_recent_losses_t recent_losses; /* suspects of the crash that may be found next */
   fq_timer_entry_t crash_timer;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -12,6 +12,9 @@
 #include "util/text.h"
 #include "util/timers.h"
 
+/* Bodies at the gate may use a fourth of the memory limit: each is held twice, as message
+ * and as output to the server. */
+#define FQ_GATE_BODIES_DIVISOR 4
 #define FQ_BODY_MEMORY_DIVISOR 2 /* message bodies may use half of the memory limit */
 
 /* An event that arose while the effects of another one were carried out. */
@@ -397,6 +400,8 @@
     .report_interval_ms = node->settings.report_interval_ms,
     .drain_ms = node->settings.drain_ms,
     .grace_ms = node->settings.grace_ms,
+    .body_bytes_max
+    = (uint64_t)(node->settings.memory_mb * FQ_BYTES_PER_MB / FQ_GATE_BODIES_DIVISOR),
     .retry_ratio = node->settings.retry_ratio,
     .retry_window_ms = node->settings.retry_window_ms,
     .retry_slack = node->settings.retry_slack,
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -650,7 +650,7 @@
   (ProtobufCMessageInit) fq__mesh__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fq__mesh__offer__field_descriptors[11] =
+static const ProtobufCFieldDescriptor fq__mesh__offer__field_descriptors[12] =
 {
   {
     "service",
@@ -784,8 +784,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "body_bytes",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fq__Mesh__Offer, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fq__mesh__offer__field_indices_by_name[] = {
+  11,   /* field[11] = body_bytes */
   2,   /* field[2] = caller */
   10,   /* field[10] = chain */
   7,   /* field[7] = fingerprint */
@@ -801,7 +814,7 @@
 static const ProtobufCIntRange fq__mesh__offer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor fq__mesh__offer__descriptor =
 {
@@ -811,7 +824,7 @@
   "Fq__Mesh__Offer",
   "fq.mesh",
   sizeof(Fq__Mesh__Offer),
-  11,
+  12,
   fq__mesh__offer__field_descriptors,
   fq__mesh__offer__field_indices_by_name,
   1,  fq__mesh__offer__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -130,10 +130,11 @@
   protobuf_c_boolean idempotent;
   protobuf_c_boolean repeat;
   uint64_t chain;
+  uint64_t body_bytes;
 };
 #define FQ__MESH__OFFER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fq__mesh__offer__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fq__Mesh__Frame
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -74,6 +74,7 @@
   wire->offer.fingerprint = offer->fingerprint;
   wire->offer.idempotent = offer->idempotent;
   wire->offer.repeat = offer->repeat;
+  wire->offer.body_bytes = offer->body_bytes;
   wire->frame.offer = &wire->offer;
 }
 
@@ -186,6 +187,7 @@
   out->fingerprint = wire->fingerprint;
   out->idempotent = wire->idempotent;
   out->repeat = wire->repeat;
+  out->body_bytes = wire->body_bytes;
 }
 
 static void
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -21,6 +21,7 @@
 #define FLEET_RUNS_MAX 512
 #define FLEET_REPLIES_MAX 512
 #define FLEET_MESSAGES_MAX 4096
+#define FLEET_BODY_BYTES_MAX 1000 /* of all requests at one gate */
 
 /** fleet_run_t - a request that was sent to a server. */
 typedef struct
@@ -440,6 +441,7 @@
   if (!fleet->nodes[node].service_unset)
     options.service = node == 0 ? "front" : "back";
   options.seed = node + 1;
+  options.params.body_bytes_max = FLEET_BODY_BYTES_MAX;
   fleet->nodes[node].down = false;
   fleet->nodes[node].generation++;
   ck_assert_int_eq (fq_mesh_new (&fleet->nodes[node].mesh, &options, fleet->now), 0);
@@ -546,19 +548,22 @@
   fq_config_unref (fleet->config);
 }
 
-/** fleet_send_request() - a client of @node sends a request; returns its id. */
+/** fleet_send_body() - a client of @node sends a request with a body; returns its id. */
 static inline fq_id_t
-fleet_send_request (fleet_t *fleet,
-                    size_t node,
-                    const char *target,
-                    const char *request_id,
-                    const char *parent)
+fleet_send_body (fleet_t *fleet,
+                 size_t node,
+                 const char *target,
+                 const char *request_id,
+                 const char *parent,
+                 size_t body_bytes)
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_REQUEST };
   fq_http_message_t *message = fq_http_message_new ();
 
   strcpy (message->method, strncmp (target, "/safe", 5) == 0 ? "GET" : "POST");
   message->target = strdup (target);
+  if (body_bytes > 0)
+    ck_assert_int_eq (fq_blob_new (&message->body, NULL, body_bytes), 0);
   event.request.id = ++fleet->next_request;
   strcpy (event.request.request_id, request_id);
   strcpy (event.request.parent_id, parent);
@@ -570,6 +575,17 @@
   return event.request.id;
 }
 
+/** fleet_send_request() - a client of @node sends a request; returns its id. */
+static inline fq_id_t
+fleet_send_request (fleet_t *fleet,
+                    size_t node,
+                    const char *target,
+                    const char *request_id,
+                    const char *parent)
+{
+  return fleet_send_body (fleet, node, target, request_id, parent, 0);
+}
+
 /** fleet_answer_with_notice() - the server completes @run with an answer of @status, in
  * which it says @notice of itself. */
 static inline void
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -395,6 +395,75 @@
 }
 END_TEST
 
+/* How each body at the gate ends. */
+static void
+end_run (fleet_run_t *run, int how)
+{
+  switch (how)
+    {
+    case 0:
+      fleet_answer (&fleet, run, FQ_SERVER_ANSWERED, 200);
+      break;
+    case 1:
+      fleet_answer (&fleet, run, FQ_SERVER_NOT_EXECUTED, 503);
+      break;
+    default:
+      fleet_fail (&fleet, run, FQ_SERVER_CONNECTION_LOST);
+      break;
+    }
+  fleet_advance (&fleet, 10);
+}
+
+/* Guards against review/7 (LOST): uploads of several machines at one gate took its
+ * process past its memory, as it admitted them by slots alone. */
+START_TEST (test_bodies_of_several_entries_fit_the_memory_of_a_gate)
+{
+  fq_id_t requests[9];
+  size_t refused = 0;
+  size_t held = 0;
+
+  fleet_kill (&fleet, 2);
+  for (int round = 0; round < 3; round++)
+    {
+      size_t first = fleet.run_count;
+      char id[FQ_REQUEST_ID_BYTES];
+
+      for (int i = 0; i < 9; i++)
+        {
+          snprintf (id, sizeof id, "up-%d-%d", round, i);
+          requests[i] = fleet_send_body (&fleet, i % 2 == 0 ? 0 : 3, "/once/1", id, "",
+                                         FLEET_BODY_BYTES_MAX / 4);
+        }
+      fleet_advance (&fleet, 20);
+      held = 0;
+      for (size_t i = first; i < fleet.run_count; i++)
+        held += fleet.runs[i].node == 1 && !fleet.runs[i].ended;
+      ck_assert_uint_gt (held, 0);
+      ck_assert_uint_le (held, 4);
+      for (int i = 0; i < 9; i++)
+        {
+          const fleet_reply_t *reply = fleet_find_reply (&fleet, requests[i]);
+
+          refused += reply != NULL && reply->status == 503;
+        }
+      /* A request without a body still finds room. */
+      snprintf (id, sizeof id, "small-%d", round);
+      fleet_send_request (&fleet, 0, "/safe/1", id, "");
+      fleet_advance (&fleet, 10);
+      ck_assert_ptr_nonnull (fleet_find_active_run (&fleet, id));
+      for (size_t i = first; i < fleet.run_count; i++)
+        {
+          if (!fleet.runs[i].ended)
+            end_run (&fleet.runs[i], _i);
+        }
+      fleet_report (&fleet, 1, "i-1", 1000, false);
+      fleet_report (&fleet, 3, "i-1", 1000, false);
+      fleet_advance (&fleet, 1000);
+    }
+  ck_assert_uint_gt (refused, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -421,6 +490,8 @@
   tcase_add_loop_test (tcase,
                        test_only_calls_that_may_lack_capacity_lower_concurrency_limit, 0,
                        sizeof call_outcomes / sizeof call_outcomes[0]);
+  tcase_add_loop_test (tcase, test_bodies_of_several_entries_fit_the_memory_of_a_gate, 0,
+                       3);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
