Tell the next nodes of each version that is put in force

Cause: its long read was lost and the next one is due much later; the nodes that had the version in time told nobody, and the frames that would state it need traffic.

Change: each node that puts a version in force tells the next two connected nodes by address. A node that did not get it from the store asks for it, and tells on.

--- a/src/mesh/config_state.c
+++ b/src/mesh/config_state.c
@@ -4,8 +4,13 @@
  * Configuration versions increase monotonically. Nodes normally read the configuration
  * from the store. A node that sees a newer version in a frame waits
  * FQ_CONFIG_REQUEST_DELAY_US for the store to deliver it and then requests it from the
- * sender of that frame; a node without any configuration requests it at once. A node that
- * finds a version late in the store tells all others, which may send no frames for long.
+ * sender of that frame; a node without any configuration requests it at once.
+ *
+ * The store may fail to deliver a version to some nodes, and in a quiet time no frames
+ * tell them of it. Each node that puts one in force therefore tells the next nodes by
+ * address, so that every node is told by some others, and those that missed it tell on. A
+ * node that finds a version late in the store tells all others, since it may be the only
+ * one.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +21,9 @@
  * from another node, and the interval at which that request is repeated. */
 #define FQ_CONFIG_REQUEST_DELAY_US (300 * FQ_MICROSECONDS_PER_MS)
 
+/* Nodes that each node tells of a version, so that one that is away does not matter. */
+#define FQ_NODES_TOLD 2
+
 void
 fq_mesh_send_config (fq_mesh_t *mesh, fq_id_t entry_connection, uint64_t known)
 {
@@ -70,17 +78,59 @@
 
 /* Every frame states the version in force. */
 static void
-announce_version (fq_mesh_t *mesh)
+tell_version (fq_mesh_t *mesh, const fq_peer_t *peer)
+{
+  fq_frame_t frame = { .kind = FQ_FRAME_PING };
+
+  fq_mesh_send_to_gate (mesh, peer->address, &frame);
+}
+
+static void
+tell_version_to_all (fq_mesh_t *mesh)
 {
   size_t cursor = 0;
   const fq_peer_t *peer;
 
   while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
     {
-      fq_frame_t frame = { .kind = FQ_FRAME_PING };
-
       if (peer != mesh->self && peer->link == FQ_LINK_UP)
-        fq_mesh_send_to_gate (mesh, peer->address, &frame);
+        tell_version (mesh, peer);
+    }
+}
+
+/* The connected node with the lowest address above @address, or with the lowest of all.
+ * Return: NULL: there is none but this node. */
+static const fq_peer_t *
+next_node (const fq_mesh_t *mesh, fq_node_address_t address)
+{
+  size_t cursor = 0;
+  const fq_peer_t *next = NULL;
+  const fq_peer_t *peer;
+
+  while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
+    {
+      /* Distances are modulo 2^32. */
+      if (peer != mesh->self && peer->link == FQ_LINK_UP
+          && (next == NULL
+              || (fq_node_address_t)(peer->address - address - 1)
+                     < (fq_node_address_t)(next->address - address - 1)))
+        next = peer;
+    }
+  return next;
+}
+
+static void
+tell_version_to_next (fq_mesh_t *mesh)
+{
+  const fq_peer_t *first = next_node (mesh, mesh->address);
+  const fq_peer_t *peer = first;
+
+  for (int i = 0; i < FQ_NODES_TOLD && peer != NULL; i++)
+    {
+      tell_version (mesh, peer);
+      peer = next_node (mesh, peer->address);
+      if (peer == first)
+        return;
     }
 }
 
@@ -105,6 +155,8 @@
                (unsigned long long)config->version, (unsigned long long)old,
                config->host_count, found_late);
   if (found_late && old != 0)
-    announce_version (mesh);
+    tell_version_to_all (mesh);
+  else
+    tell_version_to_next (mesh);
   fq_server_state_config_changed (mesh);
 }
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -88,6 +88,7 @@
   fleet_message_t messages[FLEET_MESSAGES_MAX];
   size_t message_count;
   fq_config_t *config;
+  fq_config_t *newer_config; /* what CONFIG frames carry; NULL: they are lost */
   fq_id_t next_request;
 } fleet_t;
 
@@ -310,6 +311,17 @@
          && from->generation == message->generation;
 }
 
+/* The shell parses the document of a CONFIG frame. */
+static inline void
+fleet_deliver_config (fleet_t *fleet, size_t node)
+{
+  fq_mesh_event_t event
+      = { .kind = FQ_MESH_EVENT_CONFIG, .config = { .received = fleet->newer_config } };
+
+  if (fleet->newer_config != NULL)
+    fleet_feed (fleet, node, &event);
+}
+
 static inline void
 fleet_deliver (fleet_t *fleet, fleet_message_t *message)
 {
@@ -340,6 +352,8 @@
       break;
     }
   fleet_feed (fleet, message->to, &event);
+  if (message->frame.kind == FQ_FRAME_CONFIG)
+    fleet_deliver_config (fleet, message->to);
   fq_frame_clear (&message->frame);
 }
 
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -446,6 +446,30 @@
 }
 END_TEST
 
+/* Guards against review/8 (CONFIG): the store delivers a change to some nodes only, and
+ * in a quiet time nothing told the others of it, which acted on the old version for many
+ * seconds. Each bit of the loop is a node that the store serves. */
+START_TEST (test_change_that_the_store_delivers_to_some_reaches_all_in_a_quiet_time)
+{
+  fq_config_t *newer = fleet_config (7, 1000);
+  fq_mesh_event_t event
+      = { .kind = FQ_MESH_EVENT_CONFIG, .config = { .received = newer } };
+
+  fleet_advance (&fleet, 5000);
+  fleet.newer_config = newer;
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    {
+      if ((_i >> node & 1) != 0)
+        fleet_feed (&fleet, node, &event);
+    }
+  fleet_advance (&fleet, 1500);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    ck_assert_uint_eq (fq_mesh_config_version (fleet.nodes[node].mesh), 7);
+  fleet.newer_config = NULL;
+  fq_config_unref (newer);
+}
+END_TEST
+
 #define MANY_NODES 200
 #define NODE_SAMPLE_MAX 32 /* nodes in one HELLO */
 
@@ -525,6 +549,9 @@
   tcase_add_loop_test (tcase, test_shutdown_waits_for_output_within_the_grace, 0, 4);
   tcase_add_test (tcase, test_new_node_requests_configuration_from_one_peer);
   tcase_add_test (tcase, test_configuration_found_late_is_told_to_others_in_a_quiet_time);
+  tcase_add_loop_test (
+      tcase, test_change_that_the_store_delivers_to_some_reaches_all_in_a_quiet_time, 1,
+      1 << FLEET_NODES);
   tcase_add_test (tcase, test_node_samples_are_bounded_and_cover_all_nodes);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
