Bind a deregistration of an outranked server too, and name candidates as such

By reading: a deregistration, unlike a report, was not taken for the server's while another report under its id outranked it; and a "draining" without a start time made a known one unknown. Both go one way now.

Names: a process that reports beside the server is a candidate; reports are current, stale, of a successor or unproven.

--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -166,13 +166,13 @@
   fq_list_t link; /* in the runs of the gate */
 } fq_gate_run_t;
 
-/** struct fq_server_rival_t - a process whose reports say that it is the local server,
- * while another one is taken for it. */
+/** struct fq_server_candidate_t - a process whose reports say that it is the local
+ * server, while another one is taken for it. */
 typedef struct
 {
-  fq_server_report_t report; /* the latest; without an instance: there is no rival */
+  fq_server_report_t report; /* the latest; without an instance: there is no candidate */
   fq_time_t since; /* when the first one came; the server sent none since then */
-} fq_server_rival_t;
+} fq_server_candidate_t;
 
 /** struct fq_gate_t - the gate of the local server. */
 typedef struct
@@ -180,7 +180,7 @@
   /* Its start time is 0 while it is not known: a health check does not tell it, and a
    * process that leaves may be known by its id alone. */
   fq_server_t server;
-  fq_server_rival_t rival;
+  fq_server_candidate_t candidate;
   uint64_t server_sequence;   /* of its last report */
   uint64_t server_generation; /* counts the processes that were the server */
   fq_server_notice_t notice;  /* the last one that was not malformed */
@@ -501,20 +501,22 @@
 
 /* server_identity.c: which process the local server is. */
 
-/** enum fq_report_claim_t - which process a report is of, and whether it is news. */
+/** enum fq_report_class_t - which process a report is of, and whether it is news. */
 typedef enum
 {
-  FQ_CLAIM_PRESENT,  /* of the server, later than its last one */
-  FQ_CLAIM_STALE,    /* earlier than what is known */
-  FQ_CLAIM_NEXT,     /* of the process that took the place of the server */
-  FQ_CLAIM_UNPROVEN, /* of another process, and the server may still be there */
-} fq_report_claim_t;
+  FQ_REPORT_CURRENT,   /* of the server, later than its last one */
+  FQ_REPORT_STALE,     /* earlier than what is known */
+  FQ_REPORT_SUCCESSOR, /* of the process that took the place of the server */
+  FQ_REPORT_UNPROVEN,  /* of another process, and the server may still be there */
+} fq_report_class_t;
 
-fq_report_claim_t fq_server_classify_report (const fq_mesh_t *mesh,
+fq_report_class_t fq_server_classify_report (const fq_mesh_t *mesh,
                                              const fq_server_report_t *report);
 
-/** fq_server_is_present() - whether @report may be of the process that is the server. */
-bool fq_server_is_present (const fq_server_t *server, const fq_server_report_t *report);
+/** fq_server_matches_report() - whether @report may be of the process that is the server.
+ */
+bool fq_server_matches_report (const fq_server_t *server,
+                               const fq_server_report_t *report);
 
 /** fq_server_states_other_service() - whether @report is of a service other than that of
  * this VM. */
@@ -524,24 +526,24 @@
 /** fq_server_adopt() - the process that sent @report is the server from now on. */
 void fq_server_adopt (fq_mesh_t *mesh, const fq_server_report_t *report);
 
-/** fq_server_challenge() - @report is of a process that is not taken for the server:
- * adopt it if it is proven to be the server, and ask the server otherwise. */
-void fq_server_challenge (fq_mesh_t *mesh, const fq_server_report_t *report);
+/** fq_server_consider_candidate() - @report is of a process that is not taken for the
+ * server: adopt it if it is proven to be the server, and ask the server otherwise. */
+void fq_server_consider_candidate (fq_mesh_t *mesh, const fq_server_report_t *report);
 
-/** fq_server_withdraw_rival() - the process of @report leaves, so it is no rival any
+/** fq_server_drop_candidate() - the process of @report leaves, so it is no candidate any
  * more. Return: whether it was one. */
-bool fq_server_withdraw_rival (fq_mesh_t *mesh, const fq_server_report_t *report);
+bool fq_server_drop_candidate (fq_mesh_t *mesh, const fq_server_report_t *report);
 
 /** fq_server_is_disputed() - whether a report said that @instance is of a service other
  * than that of this VM. */
 bool fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance);
 
-/** fq_server_resolve_challenge() - @instance answered a health check, as @healthy. */
-void fq_server_resolve_challenge (fq_mesh_t *mesh, const char *instance, bool healthy);
+/** fq_server_candidate_probed() - @instance answered a health check, as @healthy. */
+void fq_server_candidate_probed (fq_mesh_t *mesh, const char *instance, bool healthy);
 
-/** fq_server_review_rival() - a configuration is in force: ask for the rival if its
- * service is named there, and drop it otherwise. */
-void fq_server_review_rival (fq_mesh_t *mesh);
+/** fq_server_recheck_candidate() - a configuration is in force: ask for the candidate if
+ * its service is named there, and drop it otherwise. */
+void fq_server_recheck_candidate (fq_mesh_t *mesh);
 
 /* server_notice.c: what the local server says of itself in its answers. */
 
--- a/src/mesh/server_identity.c
+++ b/src/mesh/server_identity.c
@@ -2,18 +2,18 @@
  * DOC: Which process the local server is, by the ids and start times of its reports.
  *
  * Reports arrive late, come from other writers, and may lack a start time; clocks step
- * back. So the values of one report never decide for good: a process that is not taken
- * for the server is its rival as long as it reports and the server does not. A health
- * check tells which of the two has the address. Where it can't, because both have the
- * same id, the rival is the server once its reports have come for longer than any can be
- * late.
+ * back. So the values of one report never decide for good: another process than the
+ * server is a candidate as long as it reports and the server does not. A health check
+ * tells which of the two has the address. Where it can't, because both have the same id,
+ * the candidate is the server once its reports have come for longer than any of them can
+ * be late.
  */
 #include <string.h>
 
 #include "mesh/mesh_private.h"
 
 bool
-fq_server_is_present (const fq_server_t *server, const fq_server_report_t *report)
+fq_server_matches_report (const fq_server_t *server, const fq_server_report_t *report)
 {
   return fq_may_be_same_process (server->instance, server->started_ms, report->instance,
                                  report->started_ms);
@@ -34,31 +34,31 @@
          && (gate->confirmed || gate->drain_until != 0);
 }
 
-static fq_report_claim_t
+static fq_report_class_t
 classify_other_process (const fq_gate_t *gate, const fq_server_report_t *report)
 {
   const fq_server_t *server = &gate->server;
 
   if (server->started_ms == 0 || report->started_ms == 0)
-    return FQ_CLAIM_UNPROVEN;
+    return FQ_REPORT_UNPROVEN;
   if (report->started_ms < server->started_ms)
-    return FQ_CLAIM_STALE;
+    return FQ_REPORT_STALE;
   return strcmp (server->instance, report->instance) == 0 || is_gone (gate)
-             ? FQ_CLAIM_NEXT
-             : FQ_CLAIM_UNPROVEN;
+             ? FQ_REPORT_SUCCESSOR
+             : FQ_REPORT_UNPROVEN;
 }
 
-fq_report_claim_t
+fq_report_class_t
 fq_server_classify_report (const fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   const fq_gate_t *gate = &mesh->gate;
 
   if (fq_server_states_other_service (mesh, report))
-    return FQ_CLAIM_UNPROVEN;
+    return FQ_REPORT_UNPROVEN;
   if (gate->server.instance[0] == '\0')
-    return FQ_CLAIM_NEXT;
-  if (fq_server_is_present (&gate->server, report))
-    return report->sequence > gate->server_sequence ? FQ_CLAIM_PRESENT : FQ_CLAIM_STALE;
+    return FQ_REPORT_SUCCESSOR;
+  if (fq_server_matches_report (&gate->server, report))
+    return report->sequence > gate->server_sequence ? FQ_REPORT_CURRENT : FQ_REPORT_STALE;
   return classify_other_process (gate, report);
 }
 
@@ -83,7 +83,7 @@
   gate->server.phase = FQ_PHASE_ABSENT;
   gate->server.started_ms = report->started_ms;
   gate->server_generation++;
-  gate->rival = (fq_server_rival_t){ 0 };
+  gate->candidate = (fq_server_candidate_t){ 0 };
   gate->returned_at = 0;
   gate->drain_until = 0;
   gate->unhealthy = false;
@@ -91,34 +91,36 @@
   fq_server_state_apply_recalled (mesh);
 }
 
-/* Whether the rival has the id of a server that left, and it is not known which process
- * of that id was meant. */
+/* Whether the candidate has the id of a server that left, and it is not known which
+ * process of that id was meant. */
 static bool
 may_have_left (const fq_gate_t *gate)
 {
   return gate->drain_until != 0
-         && fq_server_is_present (&gate->server, &gate->rival.report);
+         && fq_server_matches_report (&gate->server, &gate->candidate.report);
 }
 
-/* Whether the latest report of the rival was sent after the last of the server. */
+/* Whether the latest report of the candidate was sent after the last one of the server:
+ * reports of both can be late, but not by this long. */
 static bool
 is_proven_by_time (const fq_mesh_t *mesh)
 {
-  return mesh->now - mesh->gate.rival.since >= FQ_REPORTS_LATE_US;
+  return mesh->now - mesh->gate.candidate.since >= FQ_REPORTS_LATE_US;
 }
 
 /* @healthy: its reports are confirmed */
 static void
-adopt_rival (fq_mesh_t *mesh, bool healthy, const char *reason)
+accept_candidate (fq_mesh_t *mesh, bool healthy, const char *reason)
 {
   fq_gate_t *gate = &mesh->gate;
-  fq_server_report_t report = gate->rival.report;
+  fq_server_report_t report = gate->candidate.report;
   bool returned = may_have_left (gate);
 
-  fq_mesh_log (mesh, false,
-               "event=rival-adopted instance=%s started_ms=%llu reason=%s known_ms=%lld",
-               report.instance, (unsigned long long)report.started_ms, reason,
-               (long long)((mesh->now - gate->rival.since) / FQ_MICROSECONDS_PER_MS));
+  fq_mesh_log (
+      mesh, false,
+      "event=candidate-accepted instance=%s started_ms=%llu reason=%s known_ms=%lld",
+      report.instance, (unsigned long long)report.started_ms, reason,
+      (long long)((mesh->now - gate->candidate.since) / FQ_MICROSECONDS_PER_MS));
   if (returned)
     fq_server_memories_forget (&gate->recalled, report.instance);
   fq_server_adopt (mesh, &report);
@@ -130,63 +132,63 @@
 }
 
 static void
-record_rival (fq_mesh_t *mesh, const fq_server_report_t *report)
+record_candidate (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_server_rival_t *rival = &mesh->gate.rival;
+  fq_server_candidate_t *candidate = &mesh->gate.candidate;
 
-  if (!fq_may_be_same_process (rival->report.instance, rival->report.started_ms,
+  if (!fq_may_be_same_process (candidate->report.instance, candidate->report.started_ms,
                                report->instance, report->started_ms))
-    rival->since = mesh->now;
-  else if (report->sequence <= rival->report.sequence)
+    candidate->since = mesh->now;
+  else if (report->sequence <= candidate->report.sequence)
     return;
-  rival->report = *report;
+  candidate->report = *report;
 }
 
 bool
-fq_server_withdraw_rival (fq_mesh_t *mesh, const fq_server_report_t *report)
+fq_server_drop_candidate (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_server_rival_t *rival = &mesh->gate.rival;
+  fq_server_candidate_t *candidate = &mesh->gate.candidate;
 
-  if (!fq_may_be_same_process (rival->report.instance, rival->report.started_ms,
+  if (!fq_may_be_same_process (candidate->report.instance, candidate->report.started_ms,
                                report->instance, report->started_ms))
     return false;
-  *rival = (fq_server_rival_t){ 0 };
+  *candidate = (fq_server_candidate_t){ 0 };
   return true;
 }
 
 bool
 fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance)
 {
-  const fq_server_report_t *report = &mesh->gate.rival.report;
+  const fq_server_report_t *report = &mesh->gate.candidate.report;
 
   return strcmp (report->instance, instance) == 0
          && fq_server_states_other_service (mesh, report);
 }
 
-/* Whether only a health check can decide for the rival. It is of no use for one that
- * has the id of the server, unless that has left or is of another service. */
+/* Whether only a health check can decide for the candidate: it may have left, or be of
+ * another service. Reports for long enough decide for any other. */
 static bool
 needs_check (const fq_mesh_t *mesh)
 {
   return may_have_left (&mesh->gate)
-         || fq_server_states_other_service (mesh, &mesh->gate.rival.report);
+         || fq_server_states_other_service (mesh, &mesh->gate.candidate.report);
 }
 
 static bool
 has_id_of_server (const fq_gate_t *gate)
 {
-  return strcmp (gate->rival.report.instance, gate->server.instance) == 0;
+  return strcmp (gate->candidate.report.instance, gate->server.instance) == 0;
 }
 
 void
-fq_server_challenge (fq_mesh_t *mesh, const fq_server_report_t *report)
+fq_server_consider_candidate (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   bool is_proven;
 
-  record_rival (mesh, report);
+  record_candidate (mesh, report);
   is_proven = is_proven_by_time (mesh);
   if (is_proven && !needs_check (mesh))
-    adopt_rival (mesh, true, "reports");
+    accept_candidate (mesh, true, "reports");
   else if (is_proven || !has_id_of_server (&mesh->gate))
     fq_server_state_send_probe (mesh, report->service);
 }
@@ -194,51 +196,59 @@
 /* The server does not have its address any more, and what has it is not known to be of
  * the service of this VM. */
 static void
-evict_server (fq_mesh_t *mesh)
+mark_server_replaced (fq_mesh_t *mesh)
 {
   fq_server_state_mark_absent (mesh, "another-server");
   fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
 }
 
-/* A health check was answered by the rival. */
-static void
-resolve_for_rival (fq_mesh_t *mesh, bool healthy)
+/* Whether the candidate is the server, after it answered a health check. */
+static bool
+is_proven_by_answer (const fq_mesh_t *mesh, bool healthy)
 {
   const fq_gate_t *gate = &mesh->gate;
 
-  if (is_proven_by_time (mesh) ? healthy || !may_have_left (gate)
-                               : !has_id_of_server (gate) && !needs_check (mesh))
-    adopt_rival (mesh, healthy, "health-check");
-  else if (!has_id_of_server (gate))
-    evict_server (mesh);
+  if (!is_proven_by_time (mesh))
+    return !has_id_of_server (gate) && !needs_check (mesh);
+  return healthy || !may_have_left (gate);
+}
+
+static void
+handle_answer_of_candidate (fq_mesh_t *mesh, bool healthy)
+{
+  if (is_proven_by_answer (mesh, healthy))
+    accept_candidate (mesh, healthy, "health-check");
+  else if (!has_id_of_server (&mesh->gate))
+    mark_server_replaced (mesh);
 }
 
 void
-fq_server_resolve_challenge (fq_mesh_t *mesh, const char *instance, bool healthy)
+fq_server_candidate_probed (fq_mesh_t *mesh, const char *instance, bool healthy)
 {
   fq_gate_t *gate = &mesh->gate;
-  const char *rival = gate->rival.report.instance;
+  const char *candidate = gate->candidate.report.instance;
 
-  if (instance[0] == '\0' || rival[0] == '\0')
+  if (instance[0] == '\0' || candidate[0] == '\0')
     return;
-  if (strcmp (rival, instance) == 0)
+  if (strcmp (candidate, instance) == 0)
     {
-      resolve_for_rival (mesh, healthy);
+      handle_answer_of_candidate (mesh, healthy);
       return;
     }
   if (strcmp (gate->server.instance, instance) != 0)
     return;
-  fq_mesh_log (mesh, false, "event=rival-refuted instance=%s by=%s", rival, instance);
-  gate->rival = (fq_server_rival_t){ 0 };
+  fq_mesh_log (mesh, false, "event=candidate-rejected instance=%s by=%s", candidate,
+               instance);
+  gate->candidate = (fq_server_candidate_t){ 0 };
 }
 
 void
-fq_server_review_rival (fq_mesh_t *mesh)
+fq_server_recheck_candidate (fq_mesh_t *mesh)
 {
-  fq_server_rival_t *rival = &mesh->gate.rival;
+  fq_server_candidate_t *candidate = &mesh->gate.candidate;
 
-  if (rival->report.instance[0] == '\0')
+  if (candidate->report.instance[0] == '\0')
     return;
-  if (!fq_server_state_send_probe (mesh, rival->report.service))
-    *rival = (fq_server_rival_t){ 0 };
+  if (!fq_server_state_send_probe (mesh, candidate->report.service))
+    *candidate = (fq_server_candidate_t){ 0 };
 }
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -233,7 +233,7 @@
   if (report->draining)
     record_start_time (mesh, report->started_ms);
   else if (server->started_ms == 0 || report->started_ms == 0)
-    fq_server_challenge (mesh, report);
+    fq_server_consider_candidate (mesh, report);
 }
 
 void
@@ -241,7 +241,7 @@
 {
   fq_gate_t *gate = &mesh->gate;
 
-  gate->rival = (fq_server_rival_t){ 0 };
+  gate->candidate = (fq_server_candidate_t){ 0 };
   /* Also a process that was adopted just now may be remembered as leaving. */
   if (gate->drain_until != 0)
     {
@@ -265,9 +265,9 @@
 }
 
 static void
-record_unused (fq_mesh_t *mesh, const fq_server_report_t *report, fq_report_claim_t claim)
+record_unused (fq_mesh_t *mesh, const fq_server_report_t *report, fq_report_class_t class)
 {
-  bool stale = claim == FQ_CLAIM_STALE;
+  bool stale = class == FQ_REPORT_STALE;
 
   if (stale)
     mesh->metrics.counters[FQ_METRIC_STALE_REPORTS]++;
@@ -282,24 +282,38 @@
                (unsigned long long)mesh->gate.server_sequence);
 }
 
-/* A process that is not taken for the server says that it drains. It gets an
- * acknowledgement all the same, which binds this node. */
+/* A process says that it leaves, and gets an acknowledgement, which binds this node
+ * whether or not that process is taken for the server. */
 static void
-handle_other_leaving (fq_mesh_t *mesh, const fq_server_report_t *report)
+handle_leaving (fq_mesh_t *mesh, const fq_server_report_t *report, const char *reason)
 {
-  fq_server_t *server = &mesh->gate.server;
-  bool was_rival = fq_server_withdraw_rival (mesh, report);
+  const fq_server_t *server = &mesh->gate.server;
+  bool was_candidate = fq_server_drop_candidate (mesh, report);
   bool has_id = strcmp (server->instance, report->instance) == 0;
 
-  if (fq_server_states_other_service (mesh, report))
-    return;
-  if (!fq_server_is_present (server, report) && !(was_rival && has_id))
+  if (!fq_server_matches_report (server, report) && !(was_candidate && has_id))
     {
       record_leaving (mesh, report);
       return;
     }
-  server->started_ms = report->started_ms;
-  fq_server_state_begin_drain (mesh, "reported");
+  record_start_time (mesh, report->started_ms);
+  fq_server_state_begin_drain (mesh, reason);
+}
+
+/* Handles a report that is not of the server, or not the latest of it. One of another
+ * service that says "draining" is of no use to any request. */
+static void
+handle_unused_report (fq_mesh_t *mesh,
+                      const fq_server_report_t *report,
+                      fq_report_class_t class)
+{
+  record_unused (mesh, report, class);
+  if (!report->draining)
+    fq_server_consider_candidate (mesh, report);
+  else if (fq_server_states_other_service (mesh, report))
+    fq_server_drop_candidate (mesh, report);
+  else
+    handle_leaving (mesh, report, "reported");
 }
 
 void
@@ -307,7 +321,7 @@
 {
   fq_gate_t *gate = &mesh->gate;
   bool is_first = gate->server.instance[0] == '\0';
-  fq_report_claim_t claim;
+  fq_report_class_t class;
 
   if (!is_of_known_service (mesh, report))
     {
@@ -315,27 +329,23 @@
                    report->instance, report->service);
       return;
     }
-  if (gate->drain_until != 0 && fq_server_is_present (&gate->server, report)
+  if (gate->drain_until != 0 && fq_server_matches_report (&gate->server, report)
       && !fq_server_states_other_service (mesh, report))
     {
       handle_report_of_leaving (mesh, report);
       return;
     }
-  claim = fq_server_classify_report (mesh, report);
-  switch (claim)
+  class = fq_server_classify_report (mesh, report);
+  switch (class)
     {
-    case FQ_CLAIM_PRESENT:
+    case FQ_REPORT_CURRENT:
       break;
-    case FQ_CLAIM_NEXT:
+    case FQ_REPORT_SUCCESSOR:
       fq_server_adopt (mesh, report);
       break;
-    case FQ_CLAIM_STALE:
-    case FQ_CLAIM_UNPROVEN:
-      record_unused (mesh, report, claim);
-      if (report->draining)
-        handle_other_leaving (mesh, report);
-      else
-        fq_server_challenge (mesh, report);
+    case FQ_REPORT_STALE:
+    case FQ_REPORT_UNPROVEN:
+      handle_unused_report (mesh, report, class);
       return;
     }
   /* The first report that this node gets needs a health check to confirm it, also when
@@ -431,7 +441,7 @@
 void
 fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance)
 {
-  fq_server_resolve_challenge (mesh, instance, false);
+  fq_server_candidate_probed (mesh, instance, false);
   if (strcmp (mesh->gate.server.instance, instance) == 0)
     mesh->gate.unhealthy = true;
 }
@@ -444,7 +454,7 @@
   fq_gate_t *gate = &mesh->gate;
   uint32_t limit = lowest_peer_limit (mesh);
 
-  fq_server_resolve_challenge (mesh, instance, true);
+  fq_server_candidate_probed (mesh, instance, true);
   if (gate->server.instance[0] != '\0')
     {
       if (strcmp (gate->server.instance, instance) == 0)
@@ -469,15 +479,7 @@
 void
 fq_server_state_handle_deregistration (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_gate_t *gate = &mesh->gate;
-
-  if (!fq_server_is_present (&gate->server, report))
-    {
-      record_leaving (mesh, report);
-      return;
-    }
-  record_start_time (mesh, report->started_ms);
-  fq_server_state_begin_drain (mesh, "left");
+  handle_leaving (mesh, report, "left");
 }
 
 void
@@ -490,8 +492,9 @@
       fq_mesh_log (mesh, true, "event=server-refused instance=%s unknown_service=%s",
                    server->instance, server->service);
       *server = (fq_server_t){ 0 };
+      mesh->gate.drain_until = 0;
     }
-  fq_server_review_rival (mesh);
+  fq_server_recheck_candidate (mesh);
   fq_server_state_probe_if_uncertain (mesh);
 }
 
--- a/tests/mesh/test_server_identity.c
+++ b/tests/mesh/test_server_identity.c
@@ -380,9 +380,12 @@
   fq_server_report_t foreign = report_of ("i-1", "back", NEVER_MS, false);
 
   send_report (GATE, foreign);
-  keep_reporting ("i-1", "back", STARTED_MS, 1500 * (uint32_t)(_i + 1));
+  keep_reporting ("i-1", "back", STARTED_MS, 1500 * (uint32_t)(_i / 2 + 1));
   fleet.nodes[GATE].draining = true;
-  send_report (GATE, report_of ("i-1", "back", STARTED_MS, true));
+  if (_i % 2 == 0)
+    send_report (GATE, report_of ("i-1", "back", STARTED_MS, true));
+  else
+    send_deregistration (GATE, "i-1", STARTED_MS);
   fleet_advance (&fleet, 2500);
   ck_assert_uint_eq (runs_at_gate (0, "i-1"), 0);
 }
@@ -413,7 +416,7 @@
   tcase_add_loop_test (
       tcase, test_foreign_reports_in_series_do_not_name_the_service_of_a_vm, 0, 8);
   tcase_add_loop_test (tcase, test_outranked_server_gets_no_requests_after_the_drain, 0,
-                       6);
+                       12);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
