--- a/standins/server.c
+++ b/standins/server.c
@@ -12,8 +12,9 @@
  *
  * Standard output has a line "run REQUEST_ID CALLER MS" for each request that it runs, a
  * line "control NAME=VALUE MS" when the fields that it adds change, and
- * a line "draining MS" when the node has acknowledged a report of the drain; MS is the
- * monotonic clock in milliseconds. SIGTERM starts the drain.
+ * a line "draining MS" when the node has acknowledged that it leaves; MS is the monotonic
+ * clock in milliseconds. SIGTERM starts the drain: its reports say so. SIGUSR1 makes it
+ * deregister instead, with its start time, and SIGUSR2 without; it reports no more.
  *
  * "/control/NAME=VALUE" adds the field NAME with VALUE to all later answers, "/control/"
  * removes all such fields.
@@ -73,7 +74,10 @@
 static unsigned int sequence;
 static bool draining;
 static char added_fields[FIELD_BYTES]; /* lines added to each answer */
-static bool drain_acknowledged; /* the node has acknowledged a report of the drain */
+static bool drain_acknowledged; /* the node has acknowledged that the server leaves */
+
+/* How the server says that it leaves. */
+static enum { LEAVE_BY_REPORT, LEAVE_WITH_START, LEAVE_WITHOUT_START } leave_kind;
 
 static bool
 path_ends_with (const fq_http_message_t *message, const char *suffix)
@@ -269,7 +273,7 @@
 
 static const fq_http_server_handlers_t handlers = { .request = on_request };
 
-/* @context: not NULL for a report that says that the server drains */
+/* @context: not NULL for a call that says that the server leaves */
 static void
 on_report_answered (void *context, fq_http_message_t *answer)
 {
@@ -295,23 +299,47 @@
     = { .answered = on_report_answered, .failed = on_report_failed };
 
 static void
-report (void)
+write_deregistration (fq_buffer_t *target, fq_buffer_t *body)
 {
-  fq_http_message_t *request = fq_http_message_new ();
-  fq_http_call_options_t options = { .timeout_ms = 1000 };
-  fq_buffer_t body = { 0 };
-  fq_buffer_t target = { 0 };
-  fq_http_call_t *call;
+  fq_buffer_printf (target, "/v1/Instances.Deregister/%s", instance);
+  if (leave_kind == LEAVE_WITH_START)
+    fq_buffer_printf (body, "{\"born\":%lld}", start_time_ms);
+  else
+    fq_buffer_printf (body, "{}");
+}
 
-  fq_buffer_printf (&target, "/v1/Instances.Heartbeat/%s", instance);
-  fq_buffer_add (&target, "", 1);
+static void
+write_report (fq_buffer_t *target, fq_buffer_t *body)
+{
+  fq_buffer_printf (target, "/v1/Instances.Heartbeat/%s", instance);
   fq_buffer_printf (
-      &body,
+      body,
       "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":\"%s\",\"version\":\"v1\","
       "\"zone\":\"z\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,"
       "\"warmup_left\":\"0ms\"}}",
       address_text, start_time_ms, service, SLOTS, draining ? "draining" : "ready",
       ++sequence);
+}
+
+/* Sends a report or, once the server has left without one, its deregistration until that
+ * is acknowledged. */
+static void
+report (void)
+{
+  fq_http_message_t *request;
+  fq_http_call_options_t options = { .timeout_ms = 1000 };
+  fq_buffer_t body = { 0 };
+  fq_buffer_t target = { 0 };
+  fq_http_call_t *call;
+
+  if (leave_kind != LEAVE_BY_REPORT && drain_acknowledged)
+    return;
+  if (leave_kind == LEAVE_BY_REPORT)
+    write_report (&target, &body);
+  else
+    write_deregistration (&target, &body);
+  fq_buffer_add (&target, "", 1);
+  request = fq_http_message_new ();
   strcpy (request->method, "POST");
   request->target = strdup ((const char *)fq_buffer_bytes (&target));
   fq_http_message_add (request, "Host", "node");
@@ -345,6 +373,16 @@
   report ();
 }
 
+static void
+on_sigusr (struct ev_loop *running, ev_signal *signal_watcher, int events)
+{
+  (void)running;
+  (void)events;
+  leave_kind = signal_watcher->signum == SIGUSR1 ? LEAVE_WITH_START : LEAVE_WITHOUT_START;
+  draining = true;
+  report ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,6 +393,8 @@
   struct timespec now;
   ev_timer report_timer;
   ev_signal sigterm;
+  ev_signal sigusr1;
+  ev_signal sigusr2;
 
   if (argc <= REPORTED_ARGUMENT - 1 || argc > ARGUMENTS_MAX
       || fq_address_parse (&address, argv[1]) < 0
@@ -385,6 +425,10 @@
   ev_timer_start (loop, &report_timer);
   ev_signal_init (&sigterm, on_sigterm, SIGTERM);
   ev_signal_start (loop, &sigterm);
+  ev_signal_init (&sigusr1, on_sigusr, SIGUSR1);
+  ev_signal_start (loop, &sigusr1);
+  ev_signal_init (&sigusr2, on_sigusr, SIGUSR2);
+  ev_signal_start (loop, &sigusr2);
   ev_run (loop, 0);
   return EXIT_SUCCESS;
 }
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -92,8 +92,8 @@
 static const fq_http_call_handlers_t control_handlers
     = { .answered = on_control_answered, .failed = on_control_failed };
 
-void
-soak_control (fq_http_client_t *client, const char *target)
+static void
+post (fq_http_client_t *client, const char *target, const char *body)
 {
   fq_http_message_t *request = fq_http_message_new ();
   fq_http_call_options_t options = { .timeout_ms = 1000 };
@@ -102,11 +102,45 @@
   strcpy (request->method, "POST");
   request->target = strdup (target);
   fq_http_message_add (request, "Host", "control");
+  if (body != NULL && fq_blob_new (&request->body, body, strlen (body)) < 0)
+    abort ();
   if (fq_http_client_call (&call, client, request, &options, &control_handlers, NULL) < 0)
     printf ("can't send a control call: %s\n", fq_error_last ()->message);
   fq_http_message_unref (request);
 }
 
+void
+soak_control (fq_http_client_t *client, const char *target)
+{
+  post (client, target, NULL);
+}
+
+/* The service is one that no configuration names, or that of other machines; the id is
+ * that of the server or another one; the start time is missing, or later than any. */
+void
+soak_report_as_other (size_t machine)
+{
+  static const char *const services[] = { "nobody", "front", "back" };
+  const char *other = services[fq_random_below (&soak.random, 3)];
+  bool has_id = fq_random_below (&soak.random, 2) == 0;
+  bool has_start = fq_random_below (&soak.random, 2) == 0;
+  char address[FQ_ADDRESS_BYTES];
+  char target[TEXT_BYTES];
+  char body[TEXT_BYTES * 2];
+
+  if (strcmp (other, soak_service_of (machine)) == 0)
+    other = "nobody";
+  soak_address (address, machine, PORT_SERVER_PROXY);
+  snprintf (target, sizeof target, "/v1/Instances.Heartbeat/i-%zu-%u", machine,
+            has_id ? soak.machines[machine].server_starts : SERVER_STARTS_MAX);
+  snprintf (body, sizeof body,
+            "{\"address\":\"%s\",%s\"info\":{\"service\":\"%s\",\"version\":\"v1\","
+            "\"zone\":\"z\",\"slots\":20},\"status\":{\"state\":\"ready\","
+            "\"sequence\":999999,\"warmup_left\":\"0ms\"}}",
+            address, has_start ? "\"born\":4102444800000," : "", other);
+  post (soak.machines[machine].reports_client, target, body);
+}
+
 /* Records what the server that answered said of itself. */
 static void
 record_statements (const request_t *request, const fq_http_message_t *answer)
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -91,7 +91,17 @@
 }
 
 static void
-read_run (server_log_t *log, const char *id, long long at)
+judge_caller (const request_t *request, const char *caller)
+{
+  const char *service = soak_service_of (request->machine);
+
+  if (strcmp (caller, service) != 0)
+    soak_report_violation ("%s ran as a request of '%s', but came from '%s'", request->id,
+                           caller, service);
+}
+
+static void
+read_run (server_log_t *log, const char *id, const char *caller, long long at)
 {
   request_t *request = fq_map_get (&soak.requests_by_id, fq_map_hash (id));
 
@@ -101,6 +111,7 @@
       return;
     }
   request->run_count++;
+  judge_caller (request, caller);
   if (log->start >= SERVER_STARTS_MAX)
     return;
   judge_leaving (log, request, at);
@@ -122,14 +133,15 @@
   while (fgets (line, sizeof line, file) != NULL)
     {
       char id[ID_BYTES];
+      char caller[ID_BYTES];
       long long at;
 
       if (sscanf (line, "draining %lld", &log->draining_ms) == 1)
         continue;
       if (strncmp (line, "control ", strlen ("control ")) == 0)
         read_control (log, line);
-      else if (sscanf (line, "run %31s %*s %lld", id, &at) == 2)
-        read_run (log, id, at);
+      else if (sscanf (line, "run %31s %31s %lld", id, caller, &at) == 3)
+        read_run (log, id, caller, at);
     }
   fclose (file);
 }
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -86,8 +86,8 @@
   return out;
 }
 
-static const char *
-service_of (size_t machine)
+const char *
+soak_service_of (size_t machine)
 {
   return machine < FRONT_MACHINES ? "front" : "back";
 }
@@ -118,7 +118,7 @@
   char *argv[] = { program_path (path, "fq-standin-server"),
                    direct_address,
                    reports_address,
-                   (char *)service_of (machine),
+                   (char *)soak_service_of (machine),
                    id,
                    "20",
                    reported_address,
@@ -168,7 +168,7 @@
            "\"limits\":{\"memory_mb\":256,\"descriptors\":1024,\"grace\":\"6s\"}}\n",
            machine, machine % 2, machine + 1, store_address, seed, texts[PORT_REQUESTS],
            texts[PORT_READINESS], texts[PORT_REPORTS], texts[PORT_NODES],
-           service_of (machine), texts[PORT_SERVER_PROXY], DRAIN_MS);
+           soak_service_of (machine), texts[PORT_SERVER_PROXY], DRAIN_MS);
   fclose (file);
 }
 
@@ -210,6 +210,7 @@
       soak_start_server (i);
       open_client (&soak.machines[i].client, i, PORT_REQUESTS);
       open_client (&soak.machines[i].server_client, i, PORT_SERVER_DIRECT);
+      open_client (&soak.machines[i].reports_client, i, PORT_REPORTS);
     }
   open_client (&soak.store_client, 0, PORT_STORE_DIRECT);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,7 +65,8 @@
   process_t proxy;
   unsigned int server_starts;
   fq_http_client_t *client;
-  fq_http_client_t *server_client; /* to the server itself, for its control calls */
+  fq_http_client_t *server_client;  /* to the server itself, for its control calls */
+  fq_http_client_t *reports_client; /* to the node, as another writer of reports */
   bool node_paused;
   /* By machine and start of the server: what clients of this machine were told. */
   told_t told[MACHINES_MAX][SERVER_STARTS_MAX];
@@ -160,6 +161,13 @@
  * awaited. */
 void soak_control (fq_http_client_t *client, const char *target);
 
+/** soak_report_as_other() - report to the node of @machine that it has a server of
+ * another service at the address of its server; the answer is not awaited. */
+void soak_report_as_other (size_t machine);
+
+/** soak_service_of() - the service of the server of @machine. */
+const char *soak_service_of (size_t machine);
+
 /** soak_write_config() - write a configuration with a higher version to the store. */
 void soak_write_config (void);
 
