--- a/review/standins-3/early-answer.c
+++ b/review/standins-3/early-answer.c
@@ -1,9 +1,11 @@
 /**
- * DOC: A server that leaves while it has still to read bodies which it has rejected early.
+ * DOC: A server that leaves while it has still to read bodies which it has rejected
+ * early.
  *
- * usage: early-answer RECORD TROUBLE. Machine 1 runs service "front", machines 2 to 6 run "back". Clients of
- * machine 2 send uploads, then sales, and its server says that it is draining. With TROUBLE 1 servers
- * reject some of the uploads before they are in, with 0 none.
+ * usage: early-answer RECORD TROUBLE. Machine 1 runs service "front", machines 2 to 6 run
+ * "back". Clients of machine 2 send uploads, then sales, and its server says that it is
+ * draining. With TROUBLE 1 servers reject some of the uploads before they are in, with 0
+ * none.
  */
 #define _GNU_SOURCE
 #include "lab.h"
@@ -17,8 +19,8 @@
 #define UPLOADS 20 /* and as many sales, one of each by turns */
 #define SALES 20
 #define GAP_MS 8
-#define EARLY 400         /* of a thousand uploads */
-#define EARLY_SERVERS 3   /* of five */
+#define EARLY 400       /* of a thousand uploads */
+#define EARLY_SERVERS 3 /* of five */
 #define EARLY_PAUSE_MS 2100
 #define UNTIL_DRAIN_MS 100
 #define SERVED_ON_MS 7000 /* after the acknowledgement */
@@ -28,14 +30,21 @@
 {
   lab_store_put (
       "op", "config",
-      "{\"version\":3,\"services\":[{\"name\":\"front\",\"health_path\":\"/healthz\",\"max_connections\":724},"
+      "{\"version\":3,\"services\":[{\"name\":\"front\",\"health_path\":\"/"
+      "healthz\",\"max_connections\":724},"
       "{\"name\":\"back\",\"health_path\":\"/healthz\",\"max_connections\":724}],"
-      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\","
-      "\"idle_timeout\":\"15000ms\"},\"virtual_hosts\":[{\"host\":\"hulo84.example\",\"paths\":["
-      "{\"name\":\"r-photos\",\"prefix\":\"/photos/\",\"route_type\":\"upload\",\"timeout\":\"2000ms\","
-      "\"target_latency\":\"500ms\",\"priority\":1,\"service\":\"back\",\"max_attempts\":2},"
-      "{\"name\":\"r-sale\",\"prefix\":\"/sale/\",\"route_type\":\"unsafe\",\"timeout\":\"1000ms\","
-      "\"target_latency\":\"1500ms\",\"priority\":0,\"service\":\"back\",\"max_attempts\":2}]}]}");
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_"
+      "timeout\":\"3000ms\","
+      "\"idle_timeout\":\"15000ms\"},\"virtual_hosts\":[{\"host\":\"hulo84.example\","
+      "\"paths\":["
+      "{\"name\":\"r-photos\",\"prefix\":\"/photos/"
+      "\",\"route_type\":\"upload\",\"timeout\":\"2000ms\","
+      "\"target_latency\":\"500ms\",\"priority\":1,\"service\":\"back\",\"max_attempts\":"
+      "2},"
+      "{\"name\":\"r-sale\",\"prefix\":\"/sale/"
+      "\",\"route_type\":\"unsafe\",\"timeout\":\"1000ms\","
+      "\"target_latency\":\"1500ms\",\"priority\":0,\"service\":\"back\",\"max_"
+      "attempts\":2}]}]}");
 }
 
 typedef struct
@@ -49,7 +58,8 @@
 {
   call_t *call = context;
 
-  lab_request (&call->client, &call->request, "hulo84.example", "/photos/1", UPLOAD_BYTES, 2000, false, 0);
+  lab_request (&call->client, &call->request, "hulo84.example", "/photos/1", UPLOAD_BYTES,
+               2000, false, 0);
   return NULL;
 }
 
@@ -58,15 +68,18 @@
 {
   call_t *call = context;
 
-  lab_request (&call->client, &call->request, "hulo84.example", "/sale/1", SALE_BYTES, 6000, false, 0);
+  lab_request (&call->client, &call->request, "hulo84.example", "/sale/1", SALE_BYTES,
+               6000, false, 0);
   return NULL;
 }
 
 static void
 start (pthread_t *thread, call_t *call, int number, lab_machine_t *machine, char kind)
 {
-  *call = (call_t){ .client = { .machine = machine, .fd = -1 }, .request = { .kind = kind } };
-  snprintf (call->request.id, sizeof call->request.id, "%s%08x", kind == 'l' ? "9c41d07b" : "5a1e0000", number);
+  *call = (call_t){ .client = { .machine = machine, .fd = -1 },
+                    .request = { .kind = kind } };
+  snprintf (call->request.id, sizeof call->request.id, "%s%08x",
+            kind == 'l' ? "9c41d07b" : "5a1e0000", number);
   pthread_create (thread, NULL, kind == 'l' ? send_upload : send_sale, call);
   lab_sleep (GAP_MS);
 }
@@ -77,7 +90,8 @@
   for (int i = 0; i < count; i++)
     {
       pthread_join (threads[i], NULL);
-      lab_record ("%s: status %d after %lld ms", calls[i].request.id, calls[i].request.status,
+      lab_record ("%s: status %d after %lld ms", calls[i].request.id,
+                  calls[i].request.status,
                   calls[i].request.ended - calls[i].request.sent);
     }
 }
@@ -140,7 +154,8 @@
       if (run->drain_acked == 0 || after <= lab_drain_ms)
         continue;
       late++;
-      lab_record ("%s reached %s %lld ms after it was acknowledged that it is draining", run->id, run->app, after);
+      lab_record ("%s reached %s %lld ms after it was acknowledged that it is draining",
+                  run->id, run->app, after);
     }
   pthread_mutex_unlock (&lab_runs_lock);
   lab_record ("runs: %d, later than drain: %d", runs, late);
--- a/review/standins-3/lab.c
+++ b/review/standins-3/lab.c
@@ -11,8 +11,8 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -62,7 +62,8 @@
       struct timespec now;
 
       clock_gettime (CLOCK_REALTIME, &now);
-      state = ((uint64_t)now.tv_nsec << 20) ^ (uint64_t)(uintptr_t)&state ^ (uint64_t)getpid ();
+      state = ((uint64_t)now.tv_nsec << 20) ^ (uint64_t)(uintptr_t)&state
+              ^ (uint64_t)getpid ();
       state |= 1;
     }
   state ^= state << 13;
@@ -134,7 +135,8 @@
 static void
 set_address (struct sockaddr_in *out, const char *ip, int port)
 {
-  *out = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  *out
+      = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   inet_pton (AF_INET, ip, &out->sin_addr);
 }
 
@@ -149,13 +151,14 @@
   struct pollfd wait = { .fd = fd, .events = POLLOUT };
 
   set_address (&address, ip, port);
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) < 0 && errno != EINPROGRESS)
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) < 0
+      && errno != EINPROGRESS)
     {
       close (fd);
       return -1;
     }
-  if (poll (&wait, 1, timeout_ms) <= 0 || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) < 0
-      || error != 0)
+  if (poll (&wait, 1, timeout_ms) <= 0
+      || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) < 0 || error != 0)
     {
       close (fd);
       return -1;
@@ -246,8 +249,8 @@
     }
 }
 
-/* Heads are read byte by byte in small pieces by peeking, so that nothing of the next message is
- * taken. */
+/* Heads are read byte by byte in small pieces by peeking, so that nothing of the next
+ * message is taken. */
 static ssize_t
 read_head (int fd, char *out, size_t size, long long until, bool *read_any)
 {
@@ -345,11 +348,13 @@
   return read_line (fd, line, sizeof line, until);
 }
 
-/* Of the server that this thread works for; it may begin to work before it has the body. */
+/* Of the server that this thread works for; it may begin to work before it has the body.
+ */
 static __thread lab_app_t *slow_reader;
 static __thread bool has_begun;
 static __thread bool was_rejected;
-static void begin_at_head (lab_app_t *app, int fd, lab_message_t *request, size_t size, long long until);
+static void begin_at_head (
+    lab_app_t *app, int fd, lab_message_t *request, size_t size, long long until);
 
 int
 lab_read (int fd, lab_message_t *out, bool answer, long long until, bool *read_any)
@@ -387,10 +392,13 @@
     }
   lab_field (out, "Content-Length", value, sizeof value);
   out->has_length = value[0] != '\0';
-  if (slow_reader != NULL && !answer && slow_reader->read_pause_ms + slow_reader->early > 0)
+  if (slow_reader != NULL && !answer
+      && slow_reader->read_pause_ms + slow_reader->early > 0)
     begin_at_head (slow_reader, fd, out, strtoul (value, NULL, 10), until);
   if (out->has_length
-      && read_bytes (fd, &out->body, &out->size, strtoul (value, NULL, 10) - out->size, until) < 0)
+      && read_bytes (fd, &out->body, &out->size, strtoul (value, NULL, 10) - out->size,
+                     until)
+             < 0)
     return -1;
   out->complete = out->has_length || !answer;
   return 1;
@@ -434,7 +442,8 @@
 static char *
 encode_base64 (const char *text)
 {
-  static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  static const char digits[]
+      = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   size_t size = strlen (text);
   char *out = malloc (size * 2 + 8);
   size_t used = 0;
@@ -487,8 +496,8 @@
 static json_t *
 row_json (const row_t *row)
 {
-  json_t *json = json_pack ("{s:s,s:s,s:s,s:I}", "table", row->table, "part", "", "key", row->key,
-                            "ver", (json_int_t)row->version);
+  json_t *json = json_pack ("{s:s,s:s,s:s,s:I}", "table", row->table, "part", "", "key",
+                            row->key, "ver", (json_int_t)row->version);
 
   if (row->value == NULL)
     json_object_set_new (json, "deleted", json_true ());
@@ -506,7 +515,8 @@
     {
       if (strcmp (rows[i].table, table) != 0)
         continue;
-      if (feed ? rows[i].version > after : rows[i].value != NULL && strcmp (rows[i].key, from) >= 0)
+      if (feed ? rows[i].version > after
+               : rows[i].value != NULL && strcmp (rows[i].key, from) >= 0)
         json_array_append_new (list, row_json (&rows[i]));
     }
   return list;
@@ -515,7 +525,8 @@
 static int
 apply (const lab_message_t *request)
 {
-  json_t *root = json_loadb (request->body == NULL ? "" : request->body, request->size, 0, NULL);
+  json_t *root
+      = json_loadb (request->body == NULL ? "" : request->body, request->size, 0, NULL);
   json_t *entry;
   size_t i;
 
@@ -523,12 +534,12 @@
     return 400;
   version++;
   json_array_foreach (json_object_get (root, "put"), i, entry)
-    put_row (json_string_value (json_object_get (entry, "table")),
-             json_string_value (json_object_get (entry, "key")),
-             json_string_value (json_object_get (entry, "value")));
+      put_row (json_string_value (json_object_get (entry, "table")),
+               json_string_value (json_object_get (entry, "key")),
+               json_string_value (json_object_get (entry, "value")));
   json_array_foreach (json_object_get (root, "remove"), i, entry)
-    put_row (json_string_value (json_object_get (entry, "table")),
-             json_string_value (json_object_get (entry, "key")), NULL);
+      put_row (json_string_value (json_object_get (entry, "table")),
+               json_string_value (json_object_get (entry, "key")), NULL);
   pthread_cond_broadcast (&store_changed);
   json_decref (root);
   return 200;
@@ -579,7 +590,8 @@
     {
       parameter (request->first, "table", table, sizeof table);
       parameter (request->first, "from", from, sizeof from);
-      body = json_pack ("{s:o,s:b}", "rows", collect (table, from, 0, false), "has_more", 0);
+      body = json_pack ("{s:o,s:b}", "rows", collect (table, from, 0, false), "has_more",
+                        0);
     }
   else if (strstr (request->first, "/v1/rows-feed") != NULL)
     {
@@ -610,10 +622,12 @@
   text = json_dumps (body, JSON_COMPACT);
   json_decref (body);
   snprintf (head, sizeof head,
-            "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
+            "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: "
+            "1\r\nContent-Length: "
             "%zu\r\n\r\n",
             status, strlen (text));
-  failed = lab_write (fd, head, strlen (head)) < 0 || lab_write (fd, text, strlen (text)) < 0;
+  failed = lab_write (fd, head, strlen (head)) < 0
+           || lab_write (fd, text, strlen (text)) < 0;
   free (text);
   return !failed;
 }
@@ -744,7 +758,8 @@
     }
   if (base == 0)
     lab_fail ("no free ports");
-  lab_ports = (lab_ports_t){ base, base + 1, base + 2, base + 3, base + 4, base + 5, base + 6 };
+  lab_ports
+      = (lab_ports_t){ base, base + 1, base + 2, base + 3, base + 4, base + 5, base + 6 };
 }
 
 lab_machine_t *
@@ -756,8 +771,10 @@
   snprintf (machine->ip, sizeof machine->ip, "127.0.0.%d", 20 + machine->number);
   snprintf (machine->service, sizeof machine->service, "%s", service);
   snprintf (machine->zone, sizeof machine->zone, "%s", zone);
-  snprintf (machine->settings, sizeof machine->settings, "%.200s/m%d.json", lab_folder, machine->number);
-  snprintf (machine->log, sizeof machine->log, "%.200s/m%d.log", lab_folder, machine->number);
+  snprintf (machine->settings, sizeof machine->settings, "%.200s/m%d.json", lab_folder,
+            machine->number);
+  snprintf (machine->log, sizeof machine->log, "%.200s/m%d.log", lab_folder,
+            machine->number);
   return machine;
 }
 
@@ -769,18 +786,22 @@
   if (file == NULL)
     lab_fail ("can't write settings");
   fprintf (file,
-           "{ \"node\": \"sidecar-%d\", \"zone\": \"%s\", \"ip\": \"%s\", \"store\": \"%s:%d\",\n"
+           "{ \"node\": \"sidecar-%d\", \"zone\": \"%s\", \"ip\": \"%s\", \"store\": "
+           "\"%s:%d\",\n"
            "  \"seeds\": [],\n"
-           "  \"listen\": { \"requests\": \"%s:%d\", \"readiness\": \"%s:%d\", \"reports\": \"%s:%d\",\n"
+           "  \"listen\": { \"requests\": \"%s:%d\", \"readiness\": \"%s:%d\", "
+           "\"reports\": \"%s:%d\",\n"
            "    \"nodes\": \"%s:%d\", \"metrics_port\": %d },\n"
            "  \"server\": { \"service\": \"%s\", \"address\": \"%s:%d\",\n"
            "    \"report_interval\": \"%dms\", \"drain\": \"%dms\" },\n"
            "  \"retries\": { \"ratio\": 0.2, \"window\": \"10s\", \"slack\": 48 },\n"
-           "  \"limits\": { \"memory_mb\": %g, \"descriptors\": 4100, \"grace\": \"%dms\" } }\n",
-           machine->number, machine->zone, machine->ip, lab_store.ip, lab_store.port, machine->ip,
-           lab_ports.requests, machine->ip, lab_ports.readiness, machine->ip, lab_ports.reports,
-           machine->ip, lab_ports.nodes, lab_ports.metrics, machine->service, machine->ip,
-           lab_ports.server, lab_heartbeat_ms, lab_drain_ms, lab_memory_mb, lab_grace_ms);
+           "  \"limits\": { \"memory_mb\": %g, \"descriptors\": 4100, \"grace\": "
+           "\"%dms\" } }\n",
+           machine->number, machine->zone, machine->ip, lab_store.ip, lab_store.port,
+           machine->ip, lab_ports.requests, machine->ip, lab_ports.readiness, machine->ip,
+           lab_ports.reports, machine->ip, lab_ports.nodes, lab_ports.metrics,
+           machine->service, machine->ip, lab_ports.server, lab_heartbeat_ms,
+           lab_drain_ms, lab_memory_mb, lab_grace_ms);
   fclose (file);
 }
 
@@ -838,7 +859,8 @@
 
   if (machine->pid <= 0 || waitpid (machine->pid, &status, WNOHANG) != machine->pid)
     return false;
-  lab_record ("node %d ended by itself, status %x", machine->number, (unsigned int)status);
+  lab_record ("node %d ended by itself, status %x", machine->number,
+              (unsigned int)status);
   machine->pid = 0;
   return true;
 }
@@ -850,7 +872,8 @@
   bool any = false;
   bool ready = false;
   int fd = lab_connect (machine->ip, lab_ports.readiness, 500);
-  static const char request[] = "GET /v1/readiness HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
+  static const char request[]
+      = "GET /v1/readiness HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
 
   if (fd < 0)
     return false;
@@ -950,13 +973,19 @@
 {
   char text[1024];
 
-  snprintf (text, sizeof text, "HTTP/1.1 %d X\r\n%s%s%s%sContent-Length: 0\r\n\r\n", status,
-            id[0] == '\0' ? "" : "X-Attempt-Id: ", id, id[0] == '\0' ? "" : "\r\n", fields);
+  snprintf (text, sizeof text, "HTTP/1.1 %d X\r\n%s%s%s%sContent-Length: 0\r\n\r\n",
+            status, id[0] == '\0' ? "" : "X-Attempt-Id: ", id,
+            id[0] == '\0' ? "" : "\r\n", fields);
   return lab_write (fd, text, strlen (text)) == 0;
 }
 
 static void
-reject_early (lab_app_t *app, int fd, lab_message_t *request, const char *id, size_t size, long long until)
+reject_early (lab_app_t *app,
+              int fd,
+              lab_message_t *request,
+              const char *id,
+              size_t size,
+              long long until)
 {
   was_rejected = true;
   if (read_bytes (fd, &request->body, &request->size, 16384, until) < 0
@@ -971,7 +1000,8 @@
 }
 
 static void
-begin_at_head (lab_app_t *app, int fd, lab_message_t *request, size_t size, long long until)
+begin_at_head (
+    lab_app_t *app, int fd, lab_message_t *request, size_t size, long long until)
 {
   char id[64];
 
@@ -1005,7 +1035,8 @@
 
   if (!unframed)
     snprintf (length, sizeof length, "Content-Length: %zu\r\n", size);
-  snprintf (head, sizeof head, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s.%s\r\n%s\r\n",
+  snprintf (head, sizeof head,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s.%s\r\n%s\r\n",
             id, id, length);
   if (chance (app->drop))
     return false;
@@ -1030,7 +1061,8 @@
     if (chance (app->extra_late))
       {
         lab_sleep ((int)lab_random (120));
-        return lab_write (fd, head, strlen (head)) == 0 && lab_write (fd, body, size) == 0;
+        return lab_write (fd, head, strlen (head)) == 0
+               && lab_write (fd, body, size) == 0;
       }
     if (chance (app->extra))
       return lab_write (fd, head, strlen (head)) == 0 && lab_write (fd, body, size) == 0;
@@ -1099,8 +1131,8 @@
       was_rejected = false;
       result = lab_read (fd, &request, false, lab_ms () + 10000, &any);
       if (result < 0 && has_begun)
-        lab_record ("%s: the connection broke before the body was read, after %zu bytes", app->id,
-                    request.size);
+        lab_record ("%s: the connection broke before the body was read, after %zu bytes",
+                    app->id, request.size);
       if (result <= 0)
         break;
       go_on = !app->stopped && (was_rejected || serve_app_request (app, fd, &request));
@@ -1160,7 +1192,8 @@
   if (fd < 0)
     return false;
   snprintf (text, sizeof text,
-            "POST %s HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\nContent-Length: "
+            "POST %s HTTP/1.1\r\nHost: node\r\nContent-Type: "
+            "application/json\r\nContent-Length: "
             "%zu\r\nConnection: close\r\n\r\n%s",
             target, strlen (body), body);
   if (lab_write (fd, text, strlen (text)) == 0
@@ -1179,11 +1212,13 @@
 
   snprintf (target, sizeof target, "/v1/Instances.Heartbeat/%s", app->id);
   snprintf (body, sizeof body,
-            "{\"address\":\"%s:%d\",\"born\":%lld,\"info\":{\"service\":\"%s\",\"version\":\"v1\","
+            "{\"address\":\"%s:%d\",\"born\":%lld,\"info\":{\"service\":\"%s\","
+            "\"version\":\"v1\","
             "\"zone\":\"%s\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%u,"
             "\"warmup_left\":\"0ms\"}}",
-            app->machine->ip, lab_ports.server, app->born, app->service, app->machine->zone, app->slots,
-            draining ? "draining" : "ready", ++app->sequence);
+            app->machine->ip, lab_ports.server, app->born, app->service,
+            app->machine->zone, app->slots, draining ? "draining" : "ready",
+            ++app->sequence);
   if (!post (app->machine, target, body))
     return false;
   if (draining && app->drain_acked == 0)
@@ -1284,7 +1319,8 @@
           if (lab_write (fd, line, strlen (line)) < 0)
             return -1;
         }
-      if (lab_write (fd, body + at, now) < 0 || (chunked && lab_write (fd, "\r\n", 2) < 0))
+      if (lab_write (fd, body + at, now) < 0
+          || (chunked && lab_write (fd, "\r\n", 2) < 0))
         return -1;
       if (pace_ms > 0)
         lab_sleep (pace_ms);
@@ -1293,8 +1329,14 @@
 }
 
 void
-lab_request (lab_client_t *client, lab_request_t *request, const char *host, const char *path, size_t size,
-             int time_limit_ms, bool chunked, int pace_ms)
+lab_request (lab_client_t *client,
+             lab_request_t *request,
+             const char *host,
+             const char *path,
+             size_t size,
+             int time_limit_ms,
+             bool chunked,
+             int pace_ms)
 {
   static __thread char wanted[65536];
   char head[1024], framing[64] = "", value[LAB_TEXT];
@@ -1328,9 +1370,11 @@
     snprintf (framing, sizeof framing, "Transfer-Encoding: chunked\r\n");
   else if (request->kind != 's')
     snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", size);
-  snprintf (head, sizeof head,
-            "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n",
-            request->kind == 's' ? "GET" : "POST", path, host, request->id, time_limit_ms, framing);
+  snprintf (
+      head, sizeof head,
+      "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n",
+      request->kind == 's' ? "GET" : "POST", path, host, request->id, time_limit_ms,
+      framing);
   failed = lab_write (client->fd, head, strlen (head)) < 0
            || (size > 0 && send_body (client->fd, body, size, chunked, pace_ms) < 0);
   request->whole = failed ? 0 : lab_ms ();
@@ -1345,8 +1389,11 @@
 
       request->status = answer.status;
       snprintf (signature, sizeof signature, "s.%s", request->id);
-      request->right = answer.size == wanted_size && memcmp (answer.body, wanted, wanted_size) == 0
-                       && strcmp (lab_field (&answer, "X-Response-Signature", value, sizeof value), signature) == 0;
+      request->right
+          = answer.size == wanted_size && memcmp (answer.body, wanted, wanted_size) == 0
+            && strcmp (lab_field (&answer, "X-Response-Signature", value, sizeof value),
+                       signature)
+                   == 0;
       lab_field (&answer, "Connection", value, sizeof value);
     }
   if (result != 1 || !answer.complete || strcasecmp (value, "close") == 0)
--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -30,9 +30,11 @@
 
 void lab_message_clear (lab_message_t *message);
 /* Value of a field, or "" if it is not there. */
-const char *lab_field (const lab_message_t *message, const char *name, char *out, size_t size);
-/* Reads one message with a head and a body. @until: lab_ms() at which it gives up. Returns 1, 0 at a
- * clean end before the first byte, -1 otherwise; @read_any tells whether a byte came. */
+const char *
+lab_field (const lab_message_t *message, const char *name, char *out, size_t size);
+/* Reads one message with a head and a body. @until: lab_ms() at which it gives up.
+ * Returns 1, 0 at a clean end before the first byte, -1 otherwise; @read_any tells
+ * whether a byte came. */
 int lab_read (int fd, lab_message_t *out, bool answer, long long until, bool *read_any);
 int lab_write (int fd, const void *data, size_t size);
 int lab_connect (const char *ip, int port, int timeout_ms);
@@ -57,7 +59,8 @@
   char ip[32];
   int port;
   lab_store_mode_t mode;
-  /* Answers to reads that wait are lost until then; the connection delivers nothing more. */
+  /* Answers to reads that wait are lost until then; the connection delivers nothing more.
+   */
   long long lose_until;
   unsigned int calls;
 } lab_store_t;
@@ -121,7 +124,7 @@
   bool draining;
   bool health_lies;
   bool stopped;
-  bool reports; /* sends reports */
+  bool reports;          /* sends reports */
   long long drain_acked; /* lab_ms(); 0: not yet */
   int listener;
   int fds[4096];
@@ -129,16 +132,18 @@
   pthread_mutex_t lock;
   /* Chances in a thousand, for each run. */
   int lose, drop, truncate, junk, extra, extra_late, unframed, refuse;
-  /* Begins to work at the head of a body of 100,000 bytes or more, reads the first 16,384 bytes of it,
-   * and goes on to read after this time; 0: reads at once. */
+  /* Begins to work at the head of a body of 100,000 bytes or more, reads the first 16,384
+   * bytes of it, and goes on to read after this time; 0: reads at once. */
   int read_pause_ms;
-  /* Chance in a thousand that such a request is rejected after its first 16,384 bytes. The connection is
-   * kept; half of the rest is read after early_pause_ms, and the other half after this time again. */
+  /* Chance in a thousand that such a request is rejected after its first 16,384 bytes.
+   * The connection is kept; half of the rest is read after early_pause_ms, and the other
+   * half after this time again. */
   int early, early_pause_ms;
   void (*on_run) (lab_app_t *app, const lab_message_t *request, const char *id);
 };
 
-lab_app_t *lab_app_start (lab_machine_t *machine, const char *service, const char *id, int work_ms);
+lab_app_t *
+lab_app_start (lab_machine_t *machine, const char *service, const char *id, int work_ms);
 /* Ends at once, as in a crash. */
 void lab_app_crash (lab_app_t *app);
 /* Sends one report; returns whether it was acknowledged. */
@@ -190,7 +195,13 @@
 } lab_client_t;
 
 /* Sends one request and waits for its answer. @pace_ms: between parts of an upload. */
-void lab_request (lab_client_t *client, lab_request_t *request, const char *host, const char *path,
-                  size_t body, int time_limit_ms, bool chunked, int pace_ms);
+void lab_request (lab_client_t *client,
+                  lab_request_t *request,
+                  const char *host,
+                  const char *path,
+                  size_t body,
+                  int time_limit_ms,
+                  bool chunked,
+                  int pace_ms);
 
 #endif
--- a/review/standins-3/slow-reader.c
+++ b/review/standins-3/slow-reader.c
@@ -2,9 +2,9 @@
  * DOC: Planned stop of a machine while a server reads an upload slowly.
  *
  * usage: slow-reader RECORD TROUBLE. Machine 1 runs service "front", machines 2 and 3 run
- * "back". A client of machine 1 sends an upload of 360,000 bytes, and SIGTERM follows while the server
- * works on it. With TROUBLE 1 the server pauses in the body, with 0 it reads the body at once and
- * works for as long in all.
+ * "back". A client of machine 1 sends an upload of 360,000 bytes, and SIGTERM follows
+ * while the server works on it. With TROUBLE 1 the server pauses in the body, with 0 it
+ * reads the body at once and works for as long in all.
  */
 #define _GNU_SOURCE
 #include "lab.h"
@@ -25,12 +25,17 @@
 {
   lab_store_put (
       "op", "config",
-      "{\"version\":3,\"services\":[{\"name\":\"front\",\"health_path\":\"/healthz\",\"max_connections\":724},"
+      "{\"version\":3,\"services\":[{\"name\":\"front\",\"health_path\":\"/"
+      "healthz\",\"max_connections\":724},"
       "{\"name\":\"back\",\"health_path\":\"/healthz\",\"max_connections\":724}],"
-      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\","
-      "\"idle_timeout\":\"15000ms\"},\"virtual_hosts\":[{\"host\":\"hulo84.example\",\"paths\":["
-      "{\"name\":\"r-upload\",\"prefix\":\"/up/\",\"route_type\":\"upload\",\"timeout\":\"4000ms\","
-      "\"target_latency\":\"1000ms\",\"priority\":1,\"service\":\"back\",\"max_attempts\":2}]}]}");
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_"
+      "timeout\":\"3000ms\","
+      "\"idle_timeout\":\"15000ms\"},\"virtual_hosts\":[{\"host\":\"hulo84.example\","
+      "\"paths\":["
+      "{\"name\":\"r-upload\",\"prefix\":\"/up/"
+      "\",\"route_type\":\"upload\",\"timeout\":\"4000ms\","
+      "\"target_latency\":\"1000ms\",\"priority\":1,\"service\":\"back\",\"max_"
+      "attempts\":2}]}]}");
 }
 
 typedef struct
@@ -44,7 +49,8 @@
 {
   call_t *call = context;
 
-  lab_request (&call->client, &call->request, "hulo84.example", "/up/1", BODY_BYTES, TIME_LIMIT_MS, false, 0);
+  lab_request (&call->client, &call->request, "hulo84.example", "/up/1", BODY_BYTES,
+               TIME_LIMIT_MS, false, 0);
   return NULL;
 }
 
@@ -85,13 +91,16 @@
   lab_node_signal (machine, SIGTERM);
   pthread_join (thread, NULL);
   own = call.request.status != 200;
-  lab_record ("%s: sent %lld ms before SIGTERM, ended %lld ms after it, status %d%s", call.request.id,
-              term - call.request.sent, call.request.ended - term, call.request.status,
-              own ? ", not that of the server, which was at work" : ", that of the server");
+  lab_record ("%s: sent %lld ms before SIGTERM, ended %lld ms after it, status %d%s",
+              call.request.id, term - call.request.sent, call.request.ended - term,
+              call.request.status,
+              own ? ", not that of the server, which was at work"
+                  : ", that of the server");
   lab_node_wait (machine);
   lab_record ("the node has ended %lld ms after SIGTERM", lab_ms () - term);
   lab_node_start (machine);
-  if (call.request.ended - call.request.sent >= TIME_LIMIT_MS || call.request.ended - term >= lab_grace_ms * 5 / 6)
+  if (call.request.ended - call.request.sent >= TIME_LIMIT_MS
+      || call.request.ended - term >= lab_grace_ms * 5 / 6)
     return -1;
   return !own;
 }
@@ -120,7 +129,8 @@
       snprintf (id, sizeof id, "i-7f3a91c%d", i);
       lab_write_settings (machine);
       lab_node_start (machine);
-      app = lab_app_start (machine, machine->service, id, trouble ? REST_MS : PAUSE_MS + REST_MS);
+      app = lab_app_start (machine, machine->service, id,
+                           trouble ? REST_MS : PAUSE_MS + REST_MS);
       app->read_pause_ms = trouble ? PAUSE_MS : 0;
     }
   for (int round = 1; round <= ROUNDS; round++)
