--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# The operator adds a route with a long name; see claim.txt. Exits with 1 if the rule was
+# broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the name is short.
+set -u
+cd "$(dirname "$0")/../.."
+[ -x target/filbertquay-node ] && [ -x target/review-3/long-name ] || exit 2
+timeout -k 5 110 target/review-3/long-name review/13/record.txt "${TROUBLE:-1}"
+result=$?
+[ "$result" -le 2 ] || result=2
+exit "$result"
