--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in slow-reader long-name early-answer; do
+for program in slow-reader early-answer slow-clients late-reports long-name; do
   cc -std=gnu11 -O1 -Wall -Wextra -o "target/review-3/$program" "review/standins-3/$program.c" \
     review/standins-3/lab.c -ljansson -lpthread
 done
--- a/review/standins-3/lab.c
+++ b/review/standins-3/lab.c
@@ -1023,6 +1023,27 @@
   lab_record ("%s reads on the body of %s", app->id, id);
 }
 
+/* Returns whether the connection goes on. */
+static bool
+send_large_answer (const lab_app_t *app, int fd, const char *id)
+{
+  char head[512];
+  char *body = malloc (app->answer_bytes);
+  bool sent;
+
+  if (body == NULL)
+    return false;
+  memset (body, 'a', app->answer_bytes);
+  snprintf (head, sizeof head,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s.%s\r\n"
+            "Content-Length: %zu\r\n\r\n",
+            id, id, app->answer_bytes);
+  sent = lab_write (fd, head, strlen (head)) == 0
+         && lab_write (fd, body, app->answer_bytes) == 0;
+  free (body);
+  return sent;
+}
+
 /* Returns whether the connection goes on. */
 static bool
 send_answer (lab_app_t *app, int fd, const char *id)
@@ -1108,6 +1129,8 @@
         ;
       return false;
     }
+  if (app->answer_bytes > 0)
+    return send_large_answer (app, fd, id);
   return send_answer (app, fd, id);
 }
 
--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -121,6 +121,7 @@
   unsigned int sequence;
   int slots;
   int work_ms;
+  size_t answer_bytes; /* of each answer; 0: by the id of the request */
   bool draining;
   bool health_lies;
   bool stopped;
