--- a/review/standins-3/slow-clients.c
+++ b/review/standins-3/slow-clients.c
@@ -155,8 +155,8 @@
   put_config ();
   for (int i = 0; i < 5; i++)
     {
-      lab_machine_t *machine = lab_add_machine (i == 0 ? "front" : "back",
-                                                i % 2 == 0 ? "gate-yard" : "strip-hall");
+      lab_machine_t *machine
+          = lab_add_machine (i == 0 ? "front" : "back", i % 2 == 0 ? "mid-a" : "mid-b");
       char id[32];
 
       snprintf (id, sizeof id, "i-7f3a91c%d", i);
--- a/review/standins-3/slow-reader.c
+++ b/review/standins-3/slow-reader.c
@@ -17,6 +17,7 @@
 #define PAUSE_MS 2900
 #define REST_MS 300
 #define TIME_LIMIT_MS 4000 /* of an upload at the grown installation */
+#define DRAIN_MS 2500      /* of that installation */
 #define ROUNDS 4
 #define SLOTS_MS 1500 /* after the start of a node, until clients come */
 
@@ -113,13 +114,14 @@
 
   if (argc != 3)
     return 2;
+  lab_drain_ms = DRAIN_MS;
   trouble = atoi (argv[2]) != 0;
   lab_open (argv[1]);
   lab_store_start ("127.0.0.29", lab_ports.store);
   put_config ();
-  lab_add_machine ("front", "gate-yard");
-  lab_add_machine ("back", "gate-yard");
-  lab_add_machine ("back", "strip-hall");
+  lab_add_machine ("front", "mid-a");
+  lab_add_machine ("back", "mid-a");
+  lab_add_machine ("back", "mid-b");
   for (int i = 0; i < lab_machine_count; i++)
     {
       lab_machine_t *machine = &lab_machines[i];
