--- a/fuzzers/platform.c
+++ b/fuzzers/platform.c
@@ -53,8 +53,9 @@
   if (fq_blob_new (&message->body, data, size) < 0)
     abort ();
   if (fq_platform_read_report (&server_call, &report, address, message) == FQ_OK
-      && (report.slots == 0 || report.service[0] == '\0' || address[0] == '\0'))
+      && (report.slots == 0 || report.service == NULL || address[0] == '\0'))
     abort ();
+  fq_server_report_clear (&report);
   if (fq_platform_parse_rows (&rows, message) == FQ_OK)
     fq_platform_rows_clear (&rows);
   fq_http_message_unref (message);
--- a/src/http/message.c
+++ b/src/http/message.c
@@ -133,30 +133,56 @@
   return strncasecmp (line, name, length) == 0 && line[length] == ':';
 }
 
-bool
-fq_http_message_get (const fq_http_message_t *message,
-                     const char *name,
-                     char *out,
-                     size_t size)
+/* The value of the first field named @name, which is not NUL-terminated; NULL: none. */
+static const char *
+find_value (const fq_http_message_t *message, const char *name, size_t *size)
 {
   size_t length = strlen (name);
 
-  out[0] = '\0';
   for (const char *line = message->fields; *line != '\0'; line = next_line (line))
     {
       const char *value = line + length + 2;
-      size_t value_length;
 
       if (!is_field (line, name, length))
         continue;
-      value_length = (size_t)(next_line (line) - 2 - value);
-      if (value_length >= size)
-        return false;
-      memcpy (out, value, value_length);
-      out[value_length] = '\0';
-      return true;
+      *size = (size_t)(next_line (line) - 2 - value);
+      return value;
     }
-  return false;
+  return NULL;
+}
+
+bool
+fq_http_message_get (const fq_http_message_t *message,
+                     const char *name,
+                     char *out,
+                     size_t size)
+{
+  size_t value_size;
+  const char *value = find_value (message, name, &value_size);
+
+  out[0] = '\0';
+  if (value == NULL || value_size >= size)
+    return false;
+  memcpy (out, value, value_size);
+  out[value_size] = '\0';
+  return true;
+}
+
+fq_text_t *
+fq_http_message_get_text (const fq_http_message_t *message, const char *name)
+{
+  size_t size;
+  const char *value = find_value (message, name, &size);
+
+  return value == NULL ? NULL : fq_text_new_sized (value, size);
+}
+
+bool
+fq_http_message_has (const fq_http_message_t *message, const char *name)
+{
+  size_t size;
+
+  return find_value (message, name, &size) != NULL;
 }
 
 size_t
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -10,6 +10,7 @@
 #include "filbertquay/blob.h"
 #include "filbertquay/types.h"
 #include "io/output.h"
+#include "util/text.h"
 
 /** struct fq_http_message_t - a request (method and target) or an answer (status). */
 typedef struct
@@ -58,6 +59,17 @@
                           char *out,
                           size_t size);
 
+/**
+ * fq_http_message_get_text() - get the value of the first field named @name, ignoring
+ * case.
+ *
+ * Return: a new reference; NULL if there is no such field or it is empty.
+ */
+fq_text_t *fq_http_message_get_text (const fq_http_message_t *message, const char *name);
+
+/** fq_http_message_has() - whether there is a field named @name, ignoring case. */
+bool fq_http_message_has (const fq_http_message_t *message, const char *name);
+
 /** fq_http_message_count() - number of fields named @name, ignoring case. */
 size_t fq_http_message_count (const fq_http_message_t *message, const char *name);
 
--- a/src/mesh/balancer.c
+++ b/src/mesh/balancer.c
@@ -98,7 +98,7 @@
     cost += (utilisation - 1) * FQ_OVERLOAD_COST;
   cost += wait_cost (mesh, peer, exchange);
   cost += FQ_FAILURE_RATE_COST * peer->failure_rate * weight;
-  if (strcmp (peer->zone, mesh->zone) != 0)
+  if (!fq_text_equal (peer->zone, mesh->zone))
     cost += FQ_OTHER_ZONE_COST * (1 + (double)bytes / FQ_OTHER_ZONE_BODY_BYTES);
   if (peer->server.phase == FQ_PHASE_DRAINING)
     cost += FQ_DRAINING_COST;
@@ -125,7 +125,7 @@
     return false;
   if (peer->link != FQ_LINK_UP || !peer->handshake_complete
       || peer->server.phase == FQ_PHASE_ABSENT
-      || strcmp (peer->server.service, exchange->service) != 0)
+      || !fq_text_equal (peer->server.service, exchange->service))
     return false;
   for (size_t i = 0; i < exchange->tried_count; i++)
     {
--- a/src/mesh/config.c
+++ b/src/mesh/config.c
@@ -5,7 +5,6 @@
 #include <strings.h>
 
 #include "util/map.h"
-#include "util/text.h"
 
 fq_config_t *
 fq_config_new (void)
@@ -31,10 +30,16 @@
 {
   for (size_t i = 0; i < host->route_count; i++)
     {
-      free (host->routes[i].prefix);
-      free (host->routes[i].targets);
+      fq_route_t *route = &host->routes[i];
+
+      for (size_t j = 0; j < route->target_count; j++)
+        fq_text_unref (route->targets[j].service);
+      fq_text_unref (route->name);
+      free (route->prefix);
+      free (route->targets);
     }
   free (host->routes);
+  free (host->host);
 }
 
 void
@@ -45,7 +50,10 @@
   for (size_t i = 0; i < config->host_count; i++)
     free_host_routes (&config->hosts[i]);
   for (size_t i = 0; i < config->service_count; i++)
-    free (config->services[i].probe_path);
+    {
+      fq_text_unref (config->services[i].name);
+      fq_text_unref (config->services[i].probe_path);
+    }
   free (config->hosts);
   free (config->services);
   free (config->document);
@@ -79,11 +87,11 @@
 }
 
 const fq_service_t *
-fq_config_find_service (const fq_config_t *config, const char *name)
+fq_config_find_service (const fq_config_t *config, const fq_text_t *name)
 {
   for (size_t i = 0; i < config->service_count; i++)
     {
-      if (strcmp (config->services[i].name, name) == 0)
+      if (fq_text_equal (config->services[i].name, name))
         return &config->services[i];
     }
   return NULL;
@@ -97,6 +105,16 @@
   return colon == NULL ? strlen (host) : (size_t)(colon - host);
 }
 
+/* @name_length: length of @host without its port */
+static bool
+matches_host (const fq_virtual_host_t *candidate, const char *host, size_t name_length)
+{
+  if (strcasecmp (candidate->host, host) == 0)
+    return true;
+  return strlen (candidate->host) == name_length
+         && strncasecmp (candidate->host, host, name_length) == 0;
+}
+
 static fq_route_t *
 find_host_route (const fq_virtual_host_t *host, const char *target)
 {
@@ -113,23 +131,28 @@
   return NULL;
 }
 
+/* A host may be configured in several places. */
 fq_route_t *
 fq_config_find_route (const fq_config_t *config, const char *host, const char *target)
 {
-  size_t size = host_name_length (host);
+  size_t name_length = host_name_length (host);
+  fq_route_t *longest = NULL;
 
   for (size_t i = 0; i < config->host_count; i++)
     {
-      const fq_virtual_host_t *candidate = &config->hosts[i];
-
-      if (strlen (candidate->host) == size
-          && strncasecmp (candidate->host, host, size) == 0)
-        return find_host_route (candidate, target);
+      fq_route_t *route;
+
+      if (!matches_host (&config->hosts[i], host, name_length))
+        continue;
+      route = find_host_route (&config->hosts[i], target);
+      if (longest == NULL
+          || (route != NULL && strlen (route->prefix) > strlen (longest->prefix)))
+        longest = route;
     }
-  return NULL;
+  return longest;
 }
 
-const char *
+fq_text_t *
 fq_route_next_target (fq_route_t *route)
 {
   fq_route_target_t *best = &route->targets[0];
--- a/src/mesh/config.h
+++ b/src/mesh/config.h
@@ -9,13 +9,12 @@
 #define FQ_MESH_CONFIG_H
 
 #include "filbertquay/types.h"
-
-#define FQ_HOST_BYTES 256 /* a host name, including the terminating NUL */
+#include "util/text.h"
 
 /** struct fq_route_target_t - a service that a route sends requests to. */
 typedef struct
 {
-  char service[FQ_NAME_BYTES];
+  fq_text_t *service;
   double weight; /* share of the requests, relative to the other targets */
   double credit; /* current weight of the smooth weighted round robin */
 } fq_route_target_t;
@@ -23,8 +22,8 @@
 /** struct fq_route_t - how requests whose path begins with @prefix are handled. */
 typedef struct
 {
-  char name[FQ_NAME_BYTES];
-  uint64_t id; /* hash of host and prefix; not 0 */
+  fq_text_t *name; /* for the log; may be empty */
+  uint64_t id;     /* hash of host and prefix; not 0 */
   char *prefix;
   bool idempotent;               /* requests may be executed more than once */
   uint32_t timeout_ms;           /* from arrival to answer; 0: the client's, else 30 s */
@@ -38,7 +37,7 @@
 /** struct fq_virtual_host_t - the routes of one host, longest prefix first. */
 typedef struct
 {
-  char host[FQ_HOST_BYTES];
+  char *host; /* with or without a port; owned */
   fq_route_t *routes;
   size_t route_count;
 } fq_virtual_host_t;
@@ -46,8 +45,8 @@
 /** struct fq_service_t - a service that routes can refer to. */
 typedef struct
 {
-  char name[FQ_NAME_BYTES];
-  char *probe_path;         /* request target of the health check; owned */
+  fq_text_t *name;
+  fq_text_t *probe_path;    /* request target of the health check */
   uint32_t connections_max; /* that one server accepts from all callers together */
 } fq_service_t;
 
@@ -88,11 +87,13 @@
 
 /** fq_config_find_service() - the service named @name, owned by @config; NULL if unknown.
  */
-const fq_service_t *fq_config_find_service (const fq_config_t *config, const char *name);
+const fq_service_t *fq_config_find_service (const fq_config_t *config,
+                                            const fq_text_t *name);
 
 /**
  * fq_config_find_route() - the route with the longest prefix that matches a request.
- * @host: value of the Host field, compared without case; a port is ignored
+ * @host: value of the Host field, compared without case; its port only matters to a host
+ * that is configured with one
  * @target: request target; query and fragment are ignored
  *
  * Return: the route, owned by @config; NULL: no route matches.
@@ -102,6 +103,6 @@
 
 /** fq_route_next_target() - the service for the next request, by smooth weighted round
  * robin; owned by @route, which needs at least one target. */
-const char *fq_route_next_target (fq_route_t *route);
+fq_text_t *fq_route_next_target (fq_route_t *route);
 
 #endif
--- a/src/mesh/effects.c
+++ b/src/mesh/effects.c
@@ -8,7 +8,7 @@
 
 #include "mesh/mesh_private.h"
 
-#define FQ_LOG_LINE_BYTES 560
+#define FQ_LOG_LINE_BYTES 1024
 #define FQ_EFFECTS_INITIAL_CAPACITY 16
 
 fq_mesh_effect_t *
@@ -46,8 +46,14 @@
       free (effect->frame.frame);
       break;
     case FQ_MESH_EFFECT_SERVER_CALL:
+      fq_text_unref (effect->server_call.instance);
+      fq_text_unref (effect->server_call.caller);
+      fq_text_unref (effect->server_call.request_id);
       fq_http_message_unref (effect->server_call.message);
       break;
+    case FQ_MESH_EFFECT_SERVER_PROBE:
+      fq_text_unref (effect->path);
+      break;
     case FQ_MESH_EFFECT_LOG:
       free (effect->log.text);
       break;
@@ -57,7 +63,6 @@
     case FQ_MESH_EFFECT_RETIRED_LINKS_CLOSE:
     case FQ_MESH_EFFECT_SERVER_ABORT:
     case FQ_MESH_EFFECT_SERVER_CLOSE_IDLE:
-    case FQ_MESH_EFFECT_SERVER_PROBE:
     case FQ_MESH_EFFECT_REQUEST_LIMITS:
     case FQ_MESH_EFFECT_DISCOVER_NODES:
     case FQ_MESH_EFFECT_REMOVE_NODE:
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -13,7 +13,6 @@
 #include <xxhash.h>
 
 #include "mesh/mesh_private.h"
-#include "util/text.h"
 
 #define FQ_STATUS_NOT_FOUND 404
 #define FQ_STATUS_SERVER_ERROR 500
@@ -40,13 +39,13 @@
 /* Makes the exchange an internal call of the run at the local server that handles the
  * request @parent_id. Without such a run it stays a new request. */
 static void
-attach_to_parent (fq_mesh_t *mesh, fq_exchange_t *exchange, const char *parent_id)
+attach_to_parent (fq_mesh_t *mesh, fq_exchange_t *exchange, fq_text_t *parent_id)
 {
   const fq_gate_run_t *parent = fq_gate_find_running (mesh, parent_id);
 
   if (parent == NULL)
     return;
-  memcpy (exchange->parent_id, parent_id, sizeof exchange->parent_id);
+  exchange->parent_id = fq_text_ref (parent_id);
   exchange->rank = fq_rank_of_internal_call (parent->offer.rank);
   exchange->chain = parent->offer.chain;
   exchange->repeat_of_parent = parent->offer.repeat;
@@ -75,9 +74,9 @@
 static void
 fill_offer (const fq_mesh_t *mesh, const fq_exchange_t *exchange, fq_offer_t *offer)
 {
-  memcpy (offer->service, exchange->service, sizeof offer->service);
-  memcpy (offer->request_id, exchange->request_id, sizeof offer->request_id);
-  memcpy (offer->caller, mesh->service, sizeof offer->caller);
+  offer->service = fq_text_ref (exchange->service);
+  offer->request_id = fq_text_ref (exchange->request_id);
+  offer->caller = fq_text_ref (mesh->service);
   offer->rank = exchange->rank;
   offer->remaining_ms
       = (uint32_t)((exchange->deadline - mesh->now) / FQ_MICROSECONDS_PER_MS);
@@ -113,9 +112,9 @@
       "event=attempt id=%s node=%08x offer=%u rank=%u repeat=%d limit=%u "
       "rate_limit=%g in_flight=%u queued=%u told_ms_ago=%lld slow_percent=%d "
       "failing_percent=%d",
-      exchange->request_id, peer->address, exchange->offers, exchange->rank,
-      exchange->servers_reached > 0, peer->gate_load.limit, peer->gate_load.rate_limit,
-      peer->gate_load.in_flight, peer->gate_load.queued,
+      fq_text_label (exchange->request_id), peer->address, exchange->offers,
+      exchange->rank, exchange->servers_reached > 0, peer->gate_load.limit,
+      peer->gate_load.rate_limit, peer->gate_load.in_flight, peer->gate_load.queued,
       (long long)((mesh->now - peer->load_reported_at) / FQ_MICROSECONDS_PER_MS),
       (int)(peer->latency_ratio * FQ_PERCENT), (int)(peer->failure_rate * FQ_PERCENT));
   frame.attempt = exchange->attempt;
@@ -158,6 +157,12 @@
   fq_exchange_finish_unanswered (mesh, exchange, cause_if_none);
 }
 
+static uint64_t
+hash_text (const fq_text_t *text, uint64_t seed)
+{
+  return XXH3_64bits_withSeed (fq_text_chars (text), fq_text_size (text), seed);
+}
+
 /* Never 0, which marks an unused entry in fq_recent_losses_t. */
 static uint64_t
 request_fingerprint (const fq_mesh_t *mesh, const fq_mesh_request_t *request)
@@ -166,8 +171,8 @@
   uint64_t hash = XXH3_64bits (message->target, strlen (message->target));
 
   hash = XXH3_64bits_withSeed (message->method, strlen (message->method), hash);
-  hash = XXH3_64bits_withSeed (mesh->service, strlen (mesh->service), hash);
-  hash = XXH3_64bits_withSeed (request->host, strlen (request->host), hash);
+  hash = hash_text (mesh->service, hash);
+  hash = hash_text (request->host, hash);
   if (message->body != NULL)
     hash = XXH3_64bits_withSeed (message->body->data, message->body->size, hash);
   return hash | 1;
@@ -192,17 +197,16 @@
   exchange->route_id = route->id;
   exchange->fingerprint = request_fingerprint (mesh, request);
   exchange->rank = fq_rank_of_new_request (route->priority);
-  exchange->chain = XXH3_64bits (request->request_id, strlen (request->request_id)) | 1;
+  exchange->chain = hash_text (request->request_id, 0) | 1;
   exchange->servers_max = route->servers_max;
   exchange->latency_objective_ms = route->latency_objective_ms;
   exchange->idempotent = route->idempotent;
   exchange->received = mesh->now;
   exchange->deadline = mesh->now + ms_to_us (allowed_ms);
   exchange->client_deadline = mesh->now + ms_to_us (client_ms);
-  memcpy (exchange->request_id, request->request_id, sizeof exchange->request_id);
-  memcpy (exchange->route, route->name, sizeof exchange->route);
-  fq_text_copy (exchange->service, sizeof exchange->service,
-                fq_route_next_target (route));
+  exchange->request_id = fq_text_ref (request->request_id);
+  exchange->route = fq_text_ref (route->name);
+  exchange->service = fq_text_ref (fq_route_next_target (route));
   attach_to_parent (mesh, exchange, request->parent_id);
   fq_list_init (&exchange->link);
   exchange->timer.kind = FQ_MESH_TIMER_EXCHANGE;
@@ -218,7 +222,7 @@
   mesh->metrics.counters[FQ_METRIC_REFUSED]++;
   fq_mesh_log (mesh, true,
                "event=request-end id=%s outcome=not-run status=%d cause=%s config=%llu",
-               request->request_id, FQ_STATUS_UNAVAILABLE, cause,
+               fq_text_label (request->request_id), FQ_STATUS_UNAVAILABLE, cause,
                (unsigned long long)fq_mesh_config_version (mesh));
   fq_exchange_reply_local (
       mesh, request->id, FQ_STATUS_UNAVAILABLE,
@@ -229,7 +233,8 @@
 refuse_suspect (fq_mesh_t *mesh, fq_exchange_t *exchange)
 {
   fq_mesh_log (mesh, true, "event=suspect-refused id=%s fingerprint=%016llx",
-               exchange->request_id, (unsigned long long)exchange->fingerprint);
+               fq_text_label (exchange->request_id),
+               (unsigned long long)exchange->fingerprint);
   fq_exchange_finish_not_run (mesh, exchange,
                               fq_gate_cause_name (FQ_GATE_CAUSE_CRASHES_SERVERS));
 }
@@ -251,14 +256,16 @@
       refuse_before_exchange (mesh, request, "no-config");
       return;
     }
-  route = fq_config_find_route (mesh->config, request->host, request->message->target);
+  route = fq_config_find_route (mesh->config, fq_text_chars (request->host),
+                                request->message->target);
   if (route == NULL)
     {
       mesh->metrics.counters[FQ_METRIC_NO_ROUTE]++;
       fq_mesh_log (mesh, false,
                    "event=request-end id=%s outcome=no-route status=404 cause=no-route "
                    "config=%llu",
-                   request->request_id, (unsigned long long)mesh->config->version);
+                   fq_text_label (request->request_id),
+                   (unsigned long long)mesh->config->version);
       fq_exchange_reply_local (mesh, request->id, FQ_STATUS_NOT_FOUND, 0, "no-route");
       return;
     }
@@ -330,7 +337,7 @@
   fq_mesh_log (mesh, false,
                "event=attempt-end id=%s node=%08x end=%s cause=%s reached=%d "
                "limit=%u in_flight=%u queued=%u took_ms=%lld",
-               exchange->request_id, exchange->peer->address,
+               fq_text_label (exchange->request_id), exchange->peer->address,
                frame->kind == FQ_FRAME_REFUSE ? "not-run" : "may-have-run",
                fq_gate_cause_name (frame->cause), frame->reached_server,
                frame->gate_load.limit, frame->gate_load.in_flight,
@@ -445,7 +452,7 @@
     if (exchange->idempotent || !exchange->message_sent)
       continue;
     fq_mesh_log (mesh, false, "event=attempt-retired id=%s node=%08x sent_ms_ago=%lld",
-                 exchange->request_id, peer->address,
+                 fq_text_label (exchange->request_id), peer->address,
                  (long long)((mesh->now - exchange->sent) / FQ_MICROSECONDS_PER_MS));
     fq_list_remove (link);
     fq_list_append (&peer->retired_exchanges, link);
@@ -459,7 +466,7 @@
 log_gate_lost (fq_mesh_t *mesh, const fq_exchange_t *exchange)
 {
   fq_mesh_log (mesh, false, "event=attempt-end id=%s node=%08x end=%s cause=gate-lost",
-               exchange->request_id, exchange->peer->address,
+               fq_text_label (exchange->request_id), exchange->peer->address,
                exchange->message_sent ? "may-have-run" : "not-run");
 }
 
@@ -505,10 +512,7 @@
   fq_exchange_t *exchange;
 
   while ((exchange = fq_map_next (&mesh->exchanges, &cursor)) != NULL)
-    {
-      fq_http_message_unref (exchange->message);
-      free (exchange);
-    }
+    fq_exchange_release (exchange);
   fq_map_clear (&mesh->exchanges);
   fq_map_clear (&mesh->attempts);
 }
--- a/src/mesh/exchange_end.c
+++ b/src/mesh/exchange_end.c
@@ -28,14 +28,24 @@
   exchange->attempt = 0;
 }
 
+void
+fq_exchange_release (fq_exchange_t *exchange)
+{
+  fq_text_unref (exchange->request_id);
+  fq_text_unref (exchange->service);
+  fq_text_unref (exchange->route);
+  fq_text_unref (exchange->parent_id);
+  fq_http_message_unref (exchange->message);
+  free (exchange);
+}
+
 void
 fq_exchange_free (fq_mesh_t *mesh, fq_exchange_t *exchange)
 {
   fq_exchange_detach_gate (mesh, exchange);
   fq_map_remove (&mesh->exchanges, exchange->id);
   fq_timers_cancel (&mesh->timers, &exchange->timer);
-  fq_http_message_unref (exchange->message);
-  free (exchange);
+  fq_exchange_release (exchange);
 }
 
 void
@@ -43,7 +53,7 @@
 {
   fq_gate_run_t *parent;
 
-  if (exchange->parent_id[0] == '\0')
+  if (exchange->parent_id == NULL)
     return;
   parent = fq_gate_find_running (mesh, exchange->parent_id);
   if (parent == NULL)
@@ -64,8 +74,9 @@
   fq_mesh_log (mesh, status >= FQ_STATUS_BAD_GATEWAY,
                "event=request-end id=%s route=%s service=%s outcome=%s status=%u "
                "cause=%s offers=%u reached=%u took_ms=%lld config=%llu",
-               exchange->request_id, exchange->route, exchange->service, outcome, status,
-               cause, exchange->offers, exchange->servers_reached,
+               fq_text_label (exchange->request_id), fq_text_label (exchange->route),
+               fq_text_label (exchange->service), outcome, status, cause,
+               exchange->offers, exchange->servers_reached,
                (long long)((mesh->now - exchange->received) / FQ_MICROSECONDS_PER_MS),
                (unsigned long long)exchange->config_version);
 }
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -24,9 +24,47 @@
   [FQ_PHASE_DRAINING] = "draining",
 };
 
+void
+fq_server_set (fq_server_t *server, const fq_server_t *from)
+{
+  fq_text_set (&server->service, from->service);
+  fq_text_set (&server->instance, from->instance);
+  server->started_ms = from->started_ms;
+  server->phase = from->phase;
+}
+
+void
+fq_server_clear (fq_server_t *server)
+{
+  fq_text_unref (server->service);
+  fq_text_unref (server->instance);
+  *server = (fq_server_t){ 0 };
+}
+
+void
+fq_offer_ref (fq_offer_t *offer)
+{
+  fq_text_ref (offer->service);
+  fq_text_ref (offer->request_id);
+  fq_text_ref (offer->caller);
+}
+
+void
+fq_offer_clear (fq_offer_t *offer)
+{
+  fq_text_unref (offer->service);
+  fq_text_unref (offer->request_id);
+  fq_text_unref (offer->caller);
+  *offer = (fq_offer_t){ 0 };
+}
+
 void
 fq_frame_clear (fq_frame_t *frame)
 {
+  fq_server_clear (&frame->server);
+  fq_text_unref (frame->recall.instance);
+  fq_offer_clear (&frame->offer);
+  fq_text_unref (frame->zone);
   fq_http_message_unref (frame->message);
   free (frame->nodes);
   free (frame->fingerprints);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -17,9 +17,7 @@
 
 #include "filbertquay/types.h"
 #include "http/message.h"
-
-#define FQ_REQUEST_ID_BYTES 256 /* including NUL; calls extend their parent's id */
-#define FQ_INSTANCE_BYTES 96    /* id of one process of a server, including NUL */
+#include "util/text.h"
 
 /** typedef fq_node_address_t - IPv4 address in host byte order; identifies a node. */
 typedef uint32_t fq_node_address_t;
@@ -90,8 +88,8 @@
 /** struct fq_server_t - the server on the VM of a gate; names may be empty. */
 typedef struct
 {
-  char service[FQ_NAME_BYTES];
-  char instance[FQ_INSTANCE_BYTES];
+  fq_text_t *service;
+  fq_text_t *instance;
   uint64_t started_ms; /* as reported by the server; 0: not known */
   fq_phase_t phase;
 } fq_server_t;
@@ -100,7 +98,7 @@
  * gate; see server_memory.h. Ages are in milliseconds at the time of sending. */
 typedef struct
 {
-  char instance[FQ_INSTANCE_BYTES]; /* empty: it was told nothing */
+  fq_text_t *instance; /* empty: it was told nothing */
   uint64_t started_ms;
   bool leaving;
   uint64_t leaving_ms; /* since it learned that the server is leaving */
@@ -111,11 +109,11 @@
 /** struct fq_offer_t - what a gate needs to know of a request to decide on admission. */
 typedef struct
 {
-  char service[FQ_NAME_BYTES];
-  char request_id[FQ_REQUEST_ID_BYTES];
-  char caller[FQ_NAME_BYTES]; /* service on the VM of the entry */
-  uint32_t rank;              /* order in the admission queue; lower ranks start first */
-  uint32_t remaining_ms;      /* until the deadline */
+  fq_text_t *service;
+  fq_text_t *request_id;
+  fq_text_t *caller;     /* service on the VM of the entry */
+  uint32_t rank;         /* order in the admission queue; lower ranks start first */
+  uint32_t remaining_ms; /* until the deadline */
   uint32_t latency_objective_ms; /* answer time that operators aim for; 0: none */
   uint64_t route;                /* id of the route; not 0 */
   uint64_t chain;       /* hash of the client request at the root of the call tree */
@@ -144,7 +142,7 @@
   bool failed_not_for_capacity;
   uint32_t retry_after_ms; /* REFUSE, FAILED: wait before a retry */
   uint64_t number; /* CONFIG_REQUEST, CONFIG: version; CRASH_SUSPECTS: id of the crash */
-  char zone[FQ_NAME_BYTES];
+  fq_text_t *zone;
   fq_node_address_t *nodes; /* owned */
   size_t node_count;
   bool alone;             /* CRASH_SUSPECTS: no other isolated request was running */
@@ -154,6 +152,18 @@
   size_t document_size;
 } fq_frame_t;
 
+/** fq_server_set() - let @server be equal to @from, with references of its own. */
+void fq_server_set (fq_server_t *server, const fq_server_t *from);
+
+/** fq_server_clear() - drop the references of @server and zero it. */
+void fq_server_clear (fq_server_t *server);
+
+/** fq_offer_ref() - take references for a copy of an offer. */
+void fq_offer_ref (fq_offer_t *offer);
+
+/** fq_offer_clear() - drop the references of @offer and zero it. */
+void fq_offer_clear (fq_offer_t *offer);
+
 /** fq_frame_clear() - free what the frame owns and zero it; not the frame itself. */
 void fq_frame_clear (fq_frame_t *frame);
 
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -6,7 +6,6 @@
  * time, and a refused request never runs.
  */
 #include <stdlib.h>
-#include <string.h>
 
 #include "mesh/mesh_private.h"
 
@@ -98,17 +97,31 @@
   fq_mesh_log (mesh, false,
                "event=gate-refused id=%s cause=%s rank=%u remaining_ms=%u phase=%s "
                "limit=%u rate_limit=%g in_flight=%u queued=%u wait_ms=%lld",
-               offer->request_id, fq_gate_cause_name (cause), offer->rank,
+               fq_text_label (offer->request_id), fq_gate_cause_name (cause), offer->rank,
                offer->remaining_ms, fq_phase_name (mesh->gate.server.phase), queue->limit,
                queue->rate.per_second, queue->in_flight, queue->queued,
                (long long)(fq_gate_queue_expected_wait (queue, offer->rank)
                            / FQ_MICROSECONDS_PER_MS));
 }
 
+static uint64_t
+request_map_key (const fq_text_t *request_id)
+{
+  return fq_map_hash (fq_text_chars (request_id));
+}
+
+static void
+release_run (fq_gate_run_t *run)
+{
+  fq_offer_clear (&run->offer);
+  fq_http_message_unref (run->message);
+  free (run);
+}
+
 static void
 free_run (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
-  uint64_t request_key = fq_map_hash (run->offer.request_id);
+  uint64_t request_key = request_map_key (run->offer.request_id);
 
   if (fq_map_get (&mesh->gate.runs_by_request, request_key) == run)
     fq_map_remove (&mesh->gate.runs_by_request, request_key);
@@ -120,8 +133,7 @@
   if (run->message == NULL)
     mesh->gate.expected_body_bytes -= run->offer.body_bytes;
   fq_list_remove (&run->link);
-  fq_http_message_unref (run->message);
-  free (run);
+  release_run (run);
 }
 
 /* A run that waited long may have starved for lack of time, and not for lack of capacity
@@ -196,7 +208,8 @@
       = fq_crash_suspects_is_isolated (&mesh->crash_suspects, run->offer.fingerprint);
   run->started = mesh->now;
   run->server_generation = mesh->gate.server_generation;
-  if (fq_map_set (&mesh->gate.runs_by_request, fq_map_hash (run->offer.request_id), run)
+  if (fq_map_set (&mesh->gate.runs_by_request, request_map_key (run->offer.request_id),
+                  run)
       < 0)
     abort ();
   effect->server_call.run = run->id;
@@ -204,9 +217,9 @@
       = left > 0 ? (uint32_t)(left / FQ_MICROSECONDS_PER_MS) : 1;
   effect->server_call.idempotent = run->offer.idempotent;
   effect->server_call.message = fq_http_message_ref (run->message);
-  memcpy (effect->server_call.instance, mesh->gate.server.instance, FQ_INSTANCE_BYTES);
-  memcpy (effect->server_call.caller, run->offer.caller, FQ_NAME_BYTES);
-  memcpy (effect->server_call.request_id, run->offer.request_id, FQ_REQUEST_ID_BYTES);
+  effect->server_call.instance = fq_text_ref (mesh->gate.server.instance);
+  effect->server_call.caller = fq_text_ref (run->offer.caller);
+  effect->server_call.request_id = fq_text_ref (run->offer.request_id);
   mesh->metrics.counters[FQ_METRIC_RUNS]++;
   fq_histogram_add (&mesh->metrics.wait_us, mesh->now - run->arrived);
   fq_timers_arm (&mesh->timers, &run->timer, run->deadline + FQ_OVERRUN_US);
@@ -339,6 +352,7 @@
   run->entry_connection = entry_connection;
   run->attempt = frame->attempt;
   run->offer = frame->offer;
+  fq_offer_ref (&run->offer);
   run->offer.rank = rank;
   run->message = fq_http_message_ref (frame->message);
   run->arrived = mesh->now;
@@ -415,7 +429,8 @@
 abort_run (fq_mesh_t *mesh, fq_gate_run_t *run)
 {
   fq_mesh_log (mesh, false, "event=run-aborted id=%s instance=%s ran_ms=%lld",
-               run->offer.request_id, mesh->gate.server.instance,
+               fq_text_label (run->offer.request_id),
+               fq_text_label (mesh->gate.server.instance),
                (long long)((mesh->now - run->started) / FQ_MICROSECONDS_PER_MS));
   fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_ABORT)->run = run->id;
   release_slot (mesh, run, 0);
@@ -535,7 +550,8 @@
   fq_mesh_log (mesh, false,
                "event=run-end id=%s instance=%s status=%u waited_ms=%lld ran_ms=%lld "
                "rank=%u starved=%d lost_otherwise=%d",
-               run->offer.request_id, mesh->gate.server.instance, answer->status,
+               fq_text_label (run->offer.request_id),
+               fq_text_label (mesh->gate.server.instance), answer->status,
                (long long)((run->started - run->arrived) / FQ_MICROSECONDS_PER_MS),
                (long long)(elapsed / FQ_MICROSECONDS_PER_MS), run->offer.rank,
                run->starved, run->failed_not_for_capacity);
@@ -556,8 +572,9 @@
   fq_mesh_log (mesh, true,
                "event=run-failed id=%s instance=%s cause=%s fingerprint=%016llx "
                "ran_ms=%lld",
-               run->offer.request_id, mesh->gate.server.instance,
-               fq_gate_cause_name (cause), (unsigned long long)run->offer.fingerprint,
+               fq_text_label (run->offer.request_id),
+               fq_text_label (mesh->gate.server.instance), fq_gate_cause_name (cause),
+               (unsigned long long)run->offer.fingerprint,
                (long long)((mesh->now - run->started) / FQ_MICROSECONDS_PER_MS));
   release_slot (mesh, run, 0);
   send_end (mesh, run->entry_connection, run->attempt, FQ_FRAME_FAILED, cause, true,
@@ -649,11 +666,12 @@
 }
 
 fq_gate_run_t *
-fq_gate_find_running (const fq_mesh_t *mesh, const char *request_id)
+fq_gate_find_running (const fq_mesh_t *mesh, const fq_text_t *request_id)
 {
-  fq_gate_run_t *run = fq_map_get (&mesh->gate.runs_by_request, fq_map_hash (request_id));
+  fq_gate_run_t *run
+      = fq_map_get (&mesh->gate.runs_by_request, request_map_key (request_id));
 
-  return run != NULL && strcmp (run->offer.request_id, request_id) == 0 ? run : NULL;
+  return run != NULL && fq_text_equal (run->offer.request_id, request_id) ? run : NULL;
 }
 
 void
@@ -661,13 +679,13 @@
 {
   FQ_LIST_FOREACH_SAFE (link, following, &mesh->gate.runs)
   {
-    fq_gate_run_t *run = FQ_LIST_ENTRY (link, fq_gate_run_t, link);
-
-    fq_http_message_unref (run->message);
-    free (run);
+    release_run (FQ_LIST_ENTRY (link, fq_gate_run_t, link));
   }
   fq_map_clear (&mesh->gate.runs_by_id);
   fq_map_clear (&mesh->gate.runs_by_attempt);
   fq_map_clear (&mesh->gate.runs_by_request);
   fq_gate_queue_clear (&mesh->gate.queue);
+  fq_server_clear (&mesh->gate.server);
+  fq_server_clear_candidate (mesh);
+  fq_server_memories_clear (&mesh->gate.recalled);
 }
--- a/src/mesh/gate_admission.c
+++ b/src/mesh/gate_admission.c
@@ -133,7 +133,7 @@
   fq_gate_cause_t cause;
 
   if (!fq_gate_accepts_requests (mesh)
-      || strcmp (mesh->gate.server.service, offer->service) != 0)
+      || !fq_text_equal (mesh->gate.server.service, offer->service))
     return FQ_GATE_CAUSE_NO_SERVER;
   if (fq_crash_suspects_is_refused (&mesh->crash_suspects, offer->fingerprint))
     return FQ_GATE_CAUSE_CRASHES_SERVERS;
--- a/src/mesh/isolation.c
+++ b/src/mesh/isolation.c
@@ -45,7 +45,8 @@
     run->start_by = latest;
   fq_timers_arm (&mesh->timers, &run->timer, run->start_by);
   fq_mesh_log (mesh, false, "event=run-held id=%s fingerprint=%016llx",
-               run->offer.request_id, (unsigned long long)run->offer.fingerprint);
+               fq_text_label (run->offer.request_id),
+               (unsigned long long)run->offer.fingerprint);
 }
 
 fq_gate_run_t *
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -1,11 +1,9 @@
 #include "mesh/mesh.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "filbertquay/errors.h"
 #include "mesh/mesh_private.h"
-#include "util/text.h"
 
 /* Intervals at which the node directory is read: without and with connected peers. */
 #define FQ_DISCOVERY_ISOLATED_INTERVAL_US (2 * FQ_MICROSECONDS_PER_SECOND)
@@ -59,9 +57,9 @@
 static void
 send_welcome (fq_mesh_t *mesh, const fq_entry_connection_t *entry_connection)
 {
-  fq_frame_t frame = { .kind = FQ_FRAME_WELCOME, .server = mesh->gate.server };
+  fq_frame_t frame = { .kind = FQ_FRAME_WELCOME, .zone = fq_text_ref (mesh->zone) };
 
-  memcpy (frame.zone, mesh->zone, sizeof frame.zone);
+  fq_server_set (&frame.server, &mesh->gate.server);
   fq_peer_write_sample (mesh, &frame);
   fq_mesh_send_to_entry (mesh, entry_connection->id, &frame);
 }
@@ -334,6 +332,38 @@
   fq_repeat_budget_init (&gate->budget, params->retry_window_ms);
 }
 
+void
+fq_server_report_ref (fq_server_report_t *report)
+{
+  fq_text_ref (report->instance);
+  fq_text_ref (report->service);
+}
+
+void
+fq_server_report_clear (fq_server_report_t *report)
+{
+  fq_text_unref (report->instance);
+  fq_text_unref (report->service);
+  *report = (fq_server_report_t){ 0 };
+}
+
+void
+fq_mesh_request_ref (fq_mesh_request_t *request)
+{
+  fq_text_ref (request->request_id);
+  fq_text_ref (request->host);
+  fq_text_ref (request->parent_id);
+}
+
+void
+fq_mesh_request_clear (fq_mesh_request_t *request)
+{
+  fq_text_unref (request->request_id);
+  fq_text_unref (request->host);
+  fq_text_unref (request->parent_id);
+  *request = (fq_mesh_request_t){ 0 };
+}
+
 int
 fq_mesh_new (fq_mesh_t **out, const fq_mesh_options_t *options, fq_time_t now)
 {
@@ -353,8 +383,8 @@
   mesh->now = now;
   mesh->started = now;
   mesh->next_id = FQ_ENTRY_CONNECTION_SELF;
-  fq_text_copy (mesh->zone, sizeof mesh->zone, options->zone);
-  fq_text_copy (mesh->service, sizeof mesh->service, options->service);
+  mesh->zone = fq_text_new (options->zone);
+  mesh->service = fq_text_new (options->service);
   fq_list_init (&mesh->loopback);
   init_gate (&mesh->gate, &mesh->params);
   mesh->config_timer.kind = FQ_MESH_TIMER_CONFIG;
@@ -363,7 +393,7 @@
   mesh->self = fq_peer_get_or_add (mesh, mesh->address);
   mesh->self->link = FQ_LINK_UP;
   mesh->self->handshake_complete = true;
-  memcpy (mesh->self->zone, mesh->zone, sizeof mesh->zone);
+  mesh->self->zone = fq_text_ref (mesh->zone);
   fq_timers_arm (&mesh->timers, &mesh->discovery_timer, now);
   *out = mesh;
   return FQ_OK;
@@ -398,5 +428,7 @@
   fq_crash_suspects_free (&mesh->crash_suspects);
   fq_timers_clear (&mesh->timers);
   fq_config_unref (mesh->config);
+  fq_text_unref (mesh->zone);
+  fq_text_unref (mesh->service);
   free (mesh);
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -59,8 +59,8 @@
 /** struct fq_server_report_t - the periodic status report of a server. */
 typedef struct
 {
-  char instance[FQ_INSTANCE_BYTES];
-  char service[FQ_NAME_BYTES];
+  fq_text_t *instance;
+  fq_text_t *service;
   uint64_t started_ms; /* wall-clock start time, later for each process; 0: not stated */
   uint64_t sequence;   /* increases with each report of one process */
   uint32_t slots;      /* requests that it can execute at once */
@@ -68,6 +68,12 @@
   uint32_t warmup_ms; /* remaining time in which it is slow after its start */
 } fq_server_report_t;
 
+/** fq_server_report_ref() - take references for a copy of a report. */
+void fq_server_report_ref (fq_server_report_t *report);
+
+/** fq_server_report_clear() - drop the references of @report and zero it. */
+void fq_server_report_clear (fq_server_report_t *report);
+
 /** enum fq_mesh_event_kind_t - selects the union member of fq_mesh_event_t. */
 typedef enum
 {
@@ -94,14 +100,20 @@
 typedef struct
 {
   fq_id_t id; /* assigned by the shell, which gets the reply under it */
-  char request_id[FQ_REQUEST_ID_BYTES];
-  char host[FQ_HOST_BYTES];
-  uint32_t remaining_ms;               /* until the client stops waiting; 0: not stated */
-  char parent_id[FQ_REQUEST_ID_BYTES]; /* of the request that the local server executes
-                                        * when it makes this call; empty: none */
-  fq_http_message_t *message;          /* owned by the shell */
+  fq_text_t *request_id;
+  fq_text_t *host;
+  uint32_t remaining_ms; /* until the client stops waiting; 0: not stated */
+  fq_text_t *parent_id;  /* of the request that the local server executes when it makes
+                          * this call; empty: none */
+  fq_http_message_t *message; /* owned by the shell */
 } fq_mesh_request_t;
 
+/** fq_mesh_request_ref() - take references for a copy of a request. */
+void fq_mesh_request_ref (fq_mesh_request_t *request);
+
+/** fq_mesh_request_clear() - drop the references of @request and zero it. */
+void fq_mesh_request_clear (fq_mesh_request_t *request);
+
 /** enum fq_server_outcome_t - what a server's complete answer implies for the request. */
 typedef enum
 {
@@ -181,7 +193,7 @@
     struct
     {
       fq_probe_outcome_t outcome;
-      const char *instance; /* of the server process that answered; empty: not known */
+      fq_text_t *instance; /* of the server process that answered; empty: not known */
       fq_server_notice_t notice;
     } probe;
     fq_server_report_t report; /* deregister: only instance and started_ms are used */
@@ -252,13 +264,13 @@
       fq_id_t run;           /* id by which events refer to the call */
       uint32_t remaining_ms; /* until the deadline of the request */
       bool idempotent;
-      char instance[FQ_INSTANCE_BYTES];
-      char caller[FQ_NAME_BYTES];
-      char request_id[FQ_REQUEST_ID_BYTES];
+      fq_text_t *instance;
+      fq_text_t *caller;
+      fq_text_t *request_id;
       fq_http_message_t *message; /* counted reference */
     } server_call;
-    fq_id_t run;              /* server abort: run of the server call */
-    char path[FQ_PATH_BYTES]; /* server probe: request target of the health check */
+    fq_id_t run;     /* server abort: run of the server call */
+    fq_text_t *path; /* server probe: request target of the health check */
     fq_request_limits_t limits;
     struct
     {
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -65,7 +65,7 @@
 typedef struct
 {
   fq_node_address_t address;
-  char zone[FQ_NAME_BYTES];
+  fq_text_t *zone;
   fq_link_state_t link;
   bool handshake_complete; /* its WELCOME frame came on this connection */
   uint32_t failures;       /* failed or lost connections in a row */
@@ -102,9 +102,9 @@
 typedef struct
 {
   fq_id_t id;
-  char request_id[FQ_REQUEST_ID_BYTES];
-  char service[FQ_NAME_BYTES];
-  char route[FQ_NAME_BYTES];
+  fq_text_t *request_id;
+  fq_text_t *service;
+  fq_text_t *route; /* its name */
   fq_http_message_t *message;
   uint64_t config_version;
   uint64_t route_id;
@@ -116,7 +116,7 @@
   bool idempotent;
   bool failed_not_for_capacity; /* its last attempt failed, not for lack of capacity */
   bool repeat_of_parent;        /* the run that makes this call is a repeat */
-  char parent_id[FQ_REQUEST_ID_BYTES]; /* of the run that makes this call, or empty */
+  fq_text_t *parent_id;         /* of the run that makes this call, or empty */
   fq_time_t received;
   fq_time_t deadline;        /* when the answer is due */
   fq_time_t client_deadline; /* when the client stops waiting */
@@ -230,8 +230,8 @@
 struct fq_mesh
 {
   fq_node_address_t address;
-  char zone[FQ_NAME_BYTES];
-  char service[FQ_NAME_BYTES]; /* of this VM: as set, or that of the last server in use */
+  fq_text_t *zone;
+  fq_text_t *service; /* of this VM: as set, or that of the last server in use */
   fq_mesh_params_t params;
   fq_time_t now;
   fq_mesh_effects_t *effects; /* of the event that is being processed; else NULL */
@@ -359,6 +359,8 @@
 
 /** fq_exchange_detach_gate() - clear the pending attempt, if there is one. */
 void fq_exchange_detach_gate (fq_mesh_t *mesh, fq_exchange_t *exchange);
+/** fq_exchange_release() - free an exchange that nothing refers to any more. */
+void fq_exchange_release (fq_exchange_t *exchange);
 void fq_exchange_free (fq_mesh_t *mesh, fq_exchange_t *exchange);
 
 /** fq_exchange_notify_parent() - record a failed call at the run that made it. */
@@ -424,7 +426,7 @@
 bool fq_gate_accepts_requests (const fq_mesh_t *mesh);
 
 /** fq_gate_find_running() - the run of a request that is at the server; NULL: none. */
-fq_gate_run_t *fq_gate_find_running (const fq_mesh_t *mesh, const char *request_id);
+fq_gate_run_t *fq_gate_find_running (const fq_mesh_t *mesh, const fq_text_t *request_id);
 
 /** fq_gate_start_queued() - start the queued requests that have a slot now. */
 void fq_gate_start_queued (fq_mesh_t *mesh);
@@ -461,12 +463,12 @@
                                             const fq_server_report_t *report);
 void fq_server_state_handle_timer (fq_mesh_t *mesh);
 void fq_server_state_probe_succeeded (fq_mesh_t *mesh,
-                                      const char *instance,
+                                      fq_text_t *instance,
                                       const fq_server_notice_t *notice);
 
 /** fq_server_state_probe_contradicted() - @instance answered a health check, but is not
  * healthy. */
-void fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance);
+void fq_server_state_probe_contradicted (fq_mesh_t *mesh, const fq_text_t *instance);
 
 /** fq_server_state_accept_report() - put in force what @report of the server says. */
 void fq_server_state_accept_report (fq_mesh_t *mesh, const fq_server_report_t *report);
@@ -492,7 +494,7 @@
 
 /** fq_server_state_send_probe() - send a health check to the local server, as one of
  * @service. Return: whether the configuration tells how. */
-bool fq_server_state_send_probe (fq_mesh_t *mesh, const char *service);
+bool fq_server_state_send_probe (fq_mesh_t *mesh, const fq_text_t *service);
 
 /** fq_server_state_probe_if_uncertain() - probe the local server if its state is
  * uncertain. */
@@ -530,6 +532,9 @@
 /** fq_server_adopt() - the process that sent @report is the server from now on. */
 void fq_server_adopt (fq_mesh_t *mesh, const fq_server_report_t *report);
 
+/** fq_server_clear_candidate() - there is no candidate any more. */
+void fq_server_clear_candidate (fq_mesh_t *mesh);
+
 /** fq_server_consider_candidate() - @report is of a process that is not taken for the
  * server: adopt it if it is proven to be the server, and ask the server otherwise. */
 void fq_server_consider_candidate (fq_mesh_t *mesh, const fq_server_report_t *report);
@@ -540,10 +545,11 @@
 
 /** fq_server_is_disputed() - whether a report said that @instance is of a service other
  * than that of this VM. */
-bool fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance);
+bool fq_server_is_disputed (const fq_mesh_t *mesh, const fq_text_t *instance);
 
 /** fq_server_candidate_probed() - @instance answered a health check, as @healthy. */
-void fq_server_candidate_probed (fq_mesh_t *mesh, const char *instance, bool healthy);
+void
+fq_server_candidate_probed (fq_mesh_t *mesh, const fq_text_t *instance, bool healthy);
 
 /** fq_server_recheck_candidate() - a configuration is in force: ask for the candidate if
  * its service is named there, and drop it otherwise. */
@@ -583,7 +589,7 @@
 /** fq_server_crash_probed() - a health check ended. */
 void fq_server_crash_probed (fq_mesh_t *mesh,
                              fq_probe_outcome_t outcome,
-                             const char *instance);
+                             const fq_text_t *instance);
 void fq_server_crash_handle_timer (fq_mesh_t *mesh);
 
 /** fq_server_crash_add_suspect() - the request ran in a crash here or at another gate. */
@@ -626,7 +632,7 @@
 size_t fq_peer_count_up (const fq_mesh_t *mesh);
 
 /** fq_peer_count_gates() - connected gates of @service, with this node's own. */
-size_t fq_peer_count_gates (const fq_mesh_t *mesh, const char *service);
+size_t fq_peer_count_gates (const fq_mesh_t *mesh, const fq_text_t *service);
 void fq_peer_free_all (fq_mesh_t *mesh);
 
 /* balancer.c: load balancing of attempts over gates. */
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -4,7 +4,6 @@
  * addresses of other nodes, but not their state.
  */
 #include <stdlib.h>
-#include <string.h>
 
 #include "mesh/mesh_private.h"
 
@@ -71,14 +70,14 @@
 }
 
 size_t
-fq_peer_count_gates (const fq_mesh_t *mesh, const char *service)
+fq_peer_count_gates (const fq_mesh_t *mesh, const fq_text_t *service)
 {
   size_t cursor = 0;
   size_t count = 0;
   const fq_peer_t *peer;
 
   while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
-    count += peer->link == FQ_LINK_UP && strcmp (peer->server.service, service) == 0;
+    count += peer->link == FQ_LINK_UP && fq_text_equal (peer->server.service, service);
   return count;
 }
 
@@ -122,12 +121,21 @@
   peer->last_frame_at = mesh->now;
   peer->ping_sent_at = 0;
   fq_timers_cancel (&mesh->timers, &peer->timer);
-  memcpy (frame.zone, mesh->zone, sizeof frame.zone);
+  frame.zone = fq_text_ref (mesh->zone);
   fq_peer_write_sample (mesh, &frame);
   fq_server_memory_to_recall (&peer->memory, mesh->now, &frame.recall);
   fq_mesh_send_to_gate (mesh, peer->address, &frame);
 }
 
+static void
+release_peer (fq_peer_t *peer)
+{
+  fq_text_unref (peer->zone);
+  fq_server_clear (&peer->server);
+  fq_server_memory_clear (&peer->memory);
+  free (peer);
+}
+
 static void
 remove_peer (fq_mesh_t *mesh, fq_peer_t *peer)
 {
@@ -137,7 +145,7 @@
   fq_entry_retired_lost (mesh, peer);
   fq_timers_cancel (&mesh->timers, &peer->timer);
   fq_map_remove (&mesh->peers, peer->address);
-  free (peer);
+  release_peer (peer);
 }
 
 static fq_time_t
@@ -161,7 +169,7 @@
       fq_mesh_log (
           mesh, true,
           "event=gate-lost node=%08x service=%s outstanding=%u silent_ms=%lld",
-          peer->address, peer->server.service, peer->outstanding,
+          peer->address, fq_text_label (peer->server.service), peer->outstanding,
           (long long)((mesh->now - peer->last_frame_at) / FQ_MICROSECONDS_PER_MS));
     }
   peer->link = FQ_LINK_DOWN;
@@ -255,19 +263,19 @@
 static void
 update_server (fq_mesh_t *mesh, fq_peer_t *peer, const fq_server_t *server)
 {
-  bool changed = strcmp (peer->server.service, server->service) != 0
-                 || strcmp (peer->server.instance, server->instance) != 0
+  bool changed = !fq_text_equal (peer->server.service, server->service)
+                 || !fq_text_equal (peer->server.instance, server->instance)
                  || peer->server.started_ms != server->started_ms
                  || peer->server.phase != server->phase;
 
-  peer->server = *server;
+  fq_server_set (&peer->server, server);
   if (!changed)
     return;
   peer->latency_ratio = 1;
   peer->failure_rate = 0;
   fq_mesh_log (mesh, false, "event=gate-server node=%08x service=%s instance=%s phase=%s",
-               peer->address, server->service, server->instance,
-               fq_phase_name (server->phase));
+               peer->address, fq_text_label (server->service),
+               fq_text_label (server->instance), fq_phase_name (server->phase));
 }
 
 static void
@@ -308,7 +316,7 @@
   switch (frame->kind)
     {
     case FQ_FRAME_WELCOME:
-      memcpy (peer->zone, frame->zone, sizeof peer->zone);
+      fq_text_set (&peer->zone, frame->zone);
       peer->handshake_complete = true;
       update_server (mesh, peer, &frame->server);
       for (size_t i = 0; i < frame->node_count; i++)
@@ -352,6 +360,6 @@
   fq_peer_t *peer;
 
   while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
-    free (peer);
+    release_peer (peer);
   fq_map_clear (&mesh->peers);
 }
--- a/src/mesh/server_crash.c
+++ b/src/mesh/server_crash.c
@@ -125,7 +125,8 @@
     return;
   fq_mesh_log (mesh, true,
                "event=server-crash instance=%s crash=%016llx reason=%s blamed=%zu",
-               gate->server.instance, (unsigned long long)gate->crash, reason, count);
+               fq_text_label (gate->server.instance), (unsigned long long)gate->crash,
+               reason, count);
   suspect_requests (mesh, fingerprints, count, alone);
 }
 
@@ -139,7 +140,7 @@
 void
 fq_server_crash_replaced (fq_mesh_t *mesh)
 {
-  if (mesh->gate.server.instance[0] != '\0')
+  if (mesh->gate.server.instance != NULL)
     record_crash (mesh, "another-start");
 }
 
@@ -220,14 +221,14 @@
   if (!fq_crash_suspects_clear (&mesh->crash_suspects, fingerprint))
     return;
   fq_mesh_log (mesh, false, "event=suspect-cleared id=%s fingerprint=%016llx",
-               run->offer.request_id, (unsigned long long)fingerprint);
+               fq_text_label (run->offer.request_id), (unsigned long long)fingerprint);
   tell_all_entries (mesh, &news);
 }
 
 /* An answer of the same process, or of the next one under the same id, decides nothing;
  * the next report tells which it was. */
 static void
-handle_check (fq_mesh_t *mesh, fq_probe_outcome_t outcome, const char *instance)
+handle_check (fq_mesh_t *mesh, fq_probe_outcome_t outcome, const fq_text_t *instance)
 {
   fq_gate_t *gate = &mesh->gate;
 
@@ -238,7 +239,7 @@
       break;
     case FQ_PROBE_HEALTHY:
     case FQ_PROBE_UNHEALTHY:
-      if (instance[0] != '\0' && strcmp (instance, gate->server.instance) != 0)
+      if (instance != NULL && !fq_text_equal (instance, gate->server.instance))
         fq_server_crash_detected (mesh, "another-server");
       break;
     case FQ_PROBE_UNANSWERED:
@@ -251,7 +252,9 @@
 }
 
 void
-fq_server_crash_probed (fq_mesh_t *mesh, fq_probe_outcome_t outcome, const char *instance)
+fq_server_crash_probed (fq_mesh_t *mesh,
+                        fq_probe_outcome_t outcome,
+                        const fq_text_t *instance)
 {
   if (!mesh->gate.crash_check_pending)
     return;
--- a/src/mesh/server_identity.c
+++ b/src/mesh/server_identity.c
@@ -8,8 +8,6 @@
  * the candidate is the server once its reports have come for longer than any of them can
  * be late.
  */
-#include <string.h>
-
 #include "mesh/mesh_private.h"
 
 bool
@@ -22,7 +20,7 @@
 bool
 fq_server_states_other_service (const fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  return mesh->service[0] != '\0' && strcmp (mesh->service, report->service) != 0;
+  return mesh->service != NULL && !fq_text_equal (mesh->service, report->service);
 }
 
 /* Whether the server is known to be gone, so that another process may have its address.
@@ -43,7 +41,7 @@
     return FQ_REPORT_UNPROVEN;
   if (report->started_ms < server->started_ms)
     return FQ_REPORT_STALE;
-  return strcmp (server->instance, report->instance) == 0 || is_gone (gate)
+  return fq_text_equal (server->instance, report->instance) || is_gone (gate)
              ? FQ_REPORT_SUCCESSOR
              : FQ_REPORT_UNPROVEN;
 }
@@ -55,13 +53,20 @@
 
   if (fq_server_states_other_service (mesh, report))
     return FQ_REPORT_UNPROVEN;
-  if (gate->server.instance[0] == '\0')
+  if (gate->server.instance == NULL)
     return FQ_REPORT_SUCCESSOR;
   if (fq_server_matches_report (&gate->server, report))
     return report->sequence > gate->server_sequence ? FQ_REPORT_CURRENT : FQ_REPORT_STALE;
   return classify_other_process (gate, report);
 }
 
+void
+fq_server_clear_candidate (fq_mesh_t *mesh)
+{
+  fq_server_report_clear (&mesh->gate.candidate.report);
+  mesh->gate.candidate.since = 0;
+}
+
 void
 fq_server_adopt (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
@@ -70,20 +75,21 @@
   fq_mesh_log (mesh, false,
                "event=server-start service=%s instance=%s started_ms=%llu slots=%u "
                "warmup_ms=%u previous=%s",
-               report->service, report->instance, (unsigned long long)report->started_ms,
-               report->slots, report->warmup_ms, gate->server.instance);
+               fq_text_label (report->service), fq_text_label (report->instance),
+               (unsigned long long)report->started_ms, report->slots, report->warmup_ms,
+               fq_text_label (gate->server.instance));
   fq_server_crash_replaced (mesh);
-  if (gate->server.instance[0] != '\0')
+  if (gate->server.instance != NULL)
     {
       fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_CLOSE_IDLE);
       fq_gate_refuse_unstarted (mesh, FQ_GATE_CAUSE_NO_SERVER);
     }
-  memcpy (gate->server.service, report->service, sizeof gate->server.service);
-  memcpy (gate->server.instance, report->instance, sizeof gate->server.instance);
+  fq_text_set (&gate->server.service, report->service);
+  fq_text_set (&gate->server.instance, report->instance);
   gate->server.phase = FQ_PHASE_ABSENT;
   gate->server.started_ms = report->started_ms;
   gate->server_generation++;
-  gate->candidate = (fq_server_candidate_t){ 0 };
+  fq_server_clear_candidate (mesh);
   gate->returned_at = 0;
   gate->drain_until = 0;
   gate->unhealthy = false;
@@ -116,10 +122,11 @@
   fq_server_report_t report = gate->candidate.report;
   bool returned = may_have_left (gate);
 
+  fq_server_report_ref (&report);
   fq_mesh_log (
       mesh, false,
       "event=candidate-accepted instance=%s started_ms=%llu reason=%s known_ms=%lld",
-      report.instance, (unsigned long long)report.started_ms, reason,
+      fq_text_label (report.instance), (unsigned long long)report.started_ms, reason,
       (long long)((mesh->now - gate->candidate.since) / FQ_MICROSECONDS_PER_MS));
   if (returned)
     fq_server_memories_forget (&gate->recalled, report.instance);
@@ -129,6 +136,7 @@
   gate->confirmed = healthy;
   gate->unhealthy = !healthy;
   fq_server_state_accept_report (mesh, &report);
+  fq_server_report_clear (&report);
 }
 
 static void
@@ -141,27 +149,29 @@
     candidate->since = mesh->now;
   else if (report->sequence <= candidate->report.sequence)
     return;
+  fq_server_report_clear (&candidate->report);
   candidate->report = *report;
+  fq_server_report_ref (&candidate->report);
 }
 
 bool
 fq_server_drop_candidate (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
-  fq_server_candidate_t *candidate = &mesh->gate.candidate;
+  const fq_server_report_t *known = &mesh->gate.candidate.report;
 
-  if (!fq_may_be_same_process (candidate->report.instance, candidate->report.started_ms,
-                               report->instance, report->started_ms))
+  if (!fq_may_be_same_process (known->instance, known->started_ms, report->instance,
+                               report->started_ms))
     return false;
-  *candidate = (fq_server_candidate_t){ 0 };
+  fq_server_clear_candidate (mesh);
   return true;
 }
 
 bool
-fq_server_is_disputed (const fq_mesh_t *mesh, const char *instance)
+fq_server_is_disputed (const fq_mesh_t *mesh, const fq_text_t *instance)
 {
   const fq_server_report_t *report = &mesh->gate.candidate.report;
 
-  return strcmp (report->instance, instance) == 0
+  return fq_text_equal (report->instance, instance)
          && fq_server_states_other_service (mesh, report);
 }
 
@@ -177,7 +187,7 @@
 static bool
 has_id_of_server (const fq_gate_t *gate)
 {
-  return strcmp (gate->candidate.report.instance, gate->server.instance) == 0;
+  return fq_text_equal (gate->candidate.report.instance, gate->server.instance);
 }
 
 void
@@ -223,32 +233,32 @@
 }
 
 void
-fq_server_candidate_probed (fq_mesh_t *mesh, const char *instance, bool healthy)
+fq_server_candidate_probed (fq_mesh_t *mesh, const fq_text_t *instance, bool healthy)
 {
-  fq_gate_t *gate = &mesh->gate;
-  const char *candidate = gate->candidate.report.instance;
+  const fq_gate_t *gate = &mesh->gate;
+  const fq_text_t *candidate = gate->candidate.report.instance;
 
-  if (instance[0] == '\0' || candidate[0] == '\0')
+  if (instance == NULL || candidate == NULL)
     return;
-  if (strcmp (candidate, instance) == 0)
+  if (fq_text_equal (candidate, instance))
     {
       handle_answer_of_candidate (mesh, healthy);
       return;
     }
-  if (strcmp (gate->server.instance, instance) != 0)
+  if (!fq_text_equal (gate->server.instance, instance))
     return;
-  fq_mesh_log (mesh, false, "event=candidate-rejected instance=%s by=%s", candidate,
-               instance);
-  gate->candidate = (fq_server_candidate_t){ 0 };
+  fq_mesh_log (mesh, false, "event=candidate-rejected instance=%s by=%s",
+               fq_text_label (candidate), fq_text_label (instance));
+  fq_server_clear_candidate (mesh);
 }
 
 void
 fq_server_recheck_candidate (fq_mesh_t *mesh)
 {
-  fq_server_candidate_t *candidate = &mesh->gate.candidate;
+  const fq_server_report_t *report = &mesh->gate.candidate.report;
 
-  if (candidate->report.instance[0] == '\0')
+  if (report->instance == NULL)
     return;
-  if (!fq_server_state_send_probe (mesh, candidate->report.service))
-    *candidate = (fq_server_candidate_t){ 0 };
+  if (!fq_server_state_send_probe (mesh, report->service))
+    fq_server_clear_candidate (mesh);
 }
--- a/src/mesh/server_memory.c
+++ b/src/mesh/server_memory.c
@@ -1,36 +1,42 @@
 #include "mesh/server_memory.h"
 
-#include <string.h>
-
 /* Bounds of what another node may tell. */
 #define FQ_RECALL_AGE_MAX_MS (3600ULL * 1000)
 #define FQ_RECALL_RATE_MAX 1e6
 
 bool
-fq_may_be_same_process (const char *instance,
+fq_may_be_same_process (const fq_text_t *instance,
                         uint64_t started_ms,
-                        const char *other_instance,
+                        const fq_text_t *other_instance,
                         uint64_t other_started_ms)
 {
-  return strcmp (instance, other_instance) == 0
+  return fq_text_equal (instance, other_instance)
          && (started_ms == other_started_ms || started_ms == 0 || other_started_ms == 0);
 }
 
 bool
 fq_server_memory_is_of (const fq_server_memory_t *memory,
-                        const char *instance,
+                        const fq_text_t *instance,
                         uint64_t started_ms)
 {
-  return instance[0] != '\0'
+  return instance != NULL
          && fq_may_be_same_process (memory->instance, memory->started_ms, instance,
                                     started_ms);
 }
 
+void
+fq_server_memory_clear (fq_server_memory_t *memory)
+{
+  fq_text_unref (memory->instance);
+  *memory = (fq_server_memory_t){ 0 };
+}
+
 static void
 replace (fq_server_memory_t *memory, const fq_server_t *server)
 {
-  *memory = (fq_server_memory_t){ .started_ms = server->started_ms };
-  memcpy (memory->instance, server->instance, sizeof memory->instance);
+  fq_server_memory_clear (memory);
+  memory->started_ms = server->started_ms;
+  memory->instance = fq_text_ref (server->instance);
 }
 
 void
@@ -39,7 +45,7 @@
                          const fq_server_t *server,
                          double rate_limit)
 {
-  if (server->instance[0] == '\0')
+  if (server->instance == NULL)
     return;
   if (!fq_server_memory_is_of (memory, server->instance, server->started_ms)
       || (memory->leaving && server->phase == FQ_PHASE_READY))
@@ -73,13 +79,13 @@
 }
 
 static fq_server_memory_t *
-find (fq_server_memories_t *memories, const char *instance, uint64_t started_ms)
+find (fq_server_memories_t *memories, const fq_text_t *instance, uint64_t started_ms)
 {
   for (size_t i = 0; i < FQ_SERVER_MEMORIES_MAX; i++)
     {
       fq_server_memory_t *memory = &memories->items[i];
 
-      if (strcmp (memory->instance, instance) == 0 && memory->started_ms == started_ms)
+      if (fq_text_equal (memory->instance, instance) && memory->started_ms == started_ms)
         return memory;
     }
   return NULL;
@@ -90,38 +96,48 @@
 {
   fq_server_memory_t *known = find (memories, memory->instance, memory->started_ms);
 
-  if (memory->instance[0] == '\0')
+  if (memory->instance == NULL)
     return;
   if (known != NULL)
     {
       merge (known, memory);
       return;
     }
-  known = find (memories, "", 0);
+  known = find (memories, NULL, 0);
   if (known == NULL)
     {
       known = &memories->items[memories->oldest];
       memories->oldest = (memories->oldest + 1) % FQ_SERVER_MEMORIES_MAX;
     }
+  fq_text_unref (known->instance);
   *known = *memory;
+  fq_text_ref (known->instance);
 }
 
 void
-fq_server_memories_forget (fq_server_memories_t *memories, const char *instance)
+fq_server_memories_forget (fq_server_memories_t *memories, const fq_text_t *instance)
 {
   for (size_t i = 0; i < FQ_SERVER_MEMORIES_MAX; i++)
     {
-      if (strcmp (memories->items[i].instance, instance) == 0)
-        memories->items[i] = (fq_server_memory_t){ 0 };
+      if (fq_text_equal (memories->items[i].instance, instance))
+        fq_server_memory_clear (&memories->items[i]);
     }
 }
 
+void
+fq_server_memories_clear (fq_server_memories_t *memories)
+{
+  for (size_t i = 0; i < FQ_SERVER_MEMORIES_MAX; i++)
+    fq_server_memory_clear (&memories->items[i]);
+}
+
 void
 fq_server_memory_to_recall (const fq_server_memory_t *memory,
                             fq_time_t now,
                             fq_server_recall_t *out)
 {
   *out = (fq_server_recall_t){
+    .instance = fq_text_ref (memory->instance),
     .started_ms = memory->started_ms,
     .leaving = memory->leaving,
     .rate_limit = memory->rate_limit,
@@ -129,7 +145,6 @@
   };
   if (memory->leaving)
     out->leaving_ms = (uint64_t)(now - memory->leaving_since) / FQ_MICROSECONDS_PER_MS;
-  memcpy (out->instance, memory->instance, sizeof out->instance);
 }
 
 static fq_time_t
@@ -145,6 +160,7 @@
                               fq_server_memory_t *out)
 {
   *out = (fq_server_memory_t){
+    .instance = fq_text_ref (recall->instance),
     .started_ms = recall->started_ms,
     .leaving = recall->leaving,
     .leaving_since = now - age_us (recall->leaving_ms),
@@ -152,5 +168,4 @@
   };
   if (recall->rate_limit > 0 && recall->rate_limit <= FQ_RECALL_RATE_MAX)
     out->rate_limit = recall->rate_limit;
-  memcpy (out->instance, recall->instance, sizeof out->instance);
 }
--- a/src/mesh/server_memory.h
+++ b/src/mesh/server_memory.h
@@ -14,7 +14,7 @@
 /** struct fq_server_memory_t - zero-initialised, it remembers no server. */
 typedef struct
 {
-  char instance[FQ_INSTANCE_BYTES];
+  fq_text_t *instance;
   uint64_t started_ms;      /* 0: not known */
   bool leaving;             /* it began to drain */
   fq_time_t leaving_since;  /* when this node learned of it, if leaving */
@@ -22,17 +22,20 @@
   fq_time_t rate_stated_at; /* when the gate last told it, or that there is none */
 } fq_server_memory_t;
 
+/** fq_server_memory_clear() - drop the reference of @memory and zero it. */
+void fq_server_memory_clear (fq_server_memory_t *memory);
+
 /** fq_server_memory_is_of() - whether it may be about this process. A start time of 0 on
  * either side matches any. */
 bool fq_server_memory_is_of (const fq_server_memory_t *memory,
-                             const char *instance,
+                             const fq_text_t *instance,
                              uint64_t started_ms);
 
 /** fq_may_be_same_process() - whether two ids and start times may name one process: the
  * ids are equal, and the start times are too, unless one of them is not known (0). */
-bool fq_may_be_same_process (const char *instance,
+bool fq_may_be_same_process (const fq_text_t *instance,
                              uint64_t started_ms,
-                             const char *other_instance,
+                             const fq_text_t *other_instance,
                              uint64_t other_started_ms);
 
 /** fq_server_memory_record() - the gate told @server and @rate_limit at time @now. The
@@ -62,15 +65,20 @@
                              const fq_server_memory_t *memory);
 
 /** fq_server_memories_forget() - remove what is known of processes with this id. */
-void fq_server_memories_forget (fq_server_memories_t *memories, const char *instance);
+void fq_server_memories_forget (fq_server_memories_t *memories,
+                                const fq_text_t *instance);
+
+/** fq_server_memories_clear() - remove all. */
+void fq_server_memories_clear (fq_server_memories_t *memories);
 
-/** fq_server_memory_to_recall() - convert times to ages at time @now, for a frame. */
+/** fq_server_memory_to_recall() - convert times to ages at time @now, for a frame, which
+ * gets references of its own. */
 void fq_server_memory_to_recall (const fq_server_memory_t *memory,
                                  fq_time_t now,
                                  fq_server_recall_t *out);
 
-/** fq_server_memory_from_recall() - convert the ages of a frame, received at time @now.
- */
+/** fq_server_memory_from_recall() - convert the ages of a frame, received at time @now;
+ * @out gets references of its own. */
 void fq_server_memory_from_recall (const fq_server_recall_t *recall,
                                    fq_time_t now,
                                    fq_server_memory_t *out);
--- a/src/mesh/server_notice.c
+++ b/src/mesh/server_notice.c
@@ -24,7 +24,7 @@
     return;
   gate->notice_malformed = true;
   fq_mesh_log (mesh, true, "event=server-notice-malformed instance=%s rate_limit=%g",
-               gate->server.instance, gate->notice.rate_limit);
+               fq_text_label (gate->server.instance), gate->notice.rate_limit);
 }
 
 /* Whether an answer that does not state the limit lifts it. */
@@ -100,9 +100,10 @@
   fq_mesh_log (mesh, false,
                "event=server-notice instance=%s rate_limit=%g previous=%g leaving=%d "
                "phase=%s in_flight=%u queued=%u",
-               gate->server.instance, gate->notice.rate_limit, previous.rate_limit,
-               gate->notice.leaving, fq_phase_name (gate->server.phase),
-               gate->queue.in_flight, gate->queue.queued);
+               fq_text_label (gate->server.instance), gate->notice.rate_limit,
+               previous.rate_limit, gate->notice.leaving,
+               fq_phase_name (gate->server.phase), gate->queue.in_flight,
+               gate->queue.queued);
   if (gate->notice.leaving)
     fq_server_state_begin_drain (mesh, "said-leaving");
 }
@@ -119,7 +120,7 @@
   gate->notice.rate_limit = memory->rate_limit;
   gate->rate_stated_at = memory->rate_stated_at;
   fq_mesh_log (mesh, false, "event=server-notice-recalled instance=%s rate_limit=%g",
-               gate->server.instance, memory->rate_limit);
+               fq_text_label (gate->server.instance), memory->rate_limit);
   apply_rate (mesh);
 }
 
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -9,10 +9,7 @@
  * report, before the server counts as ready. Where the health check contradicts the
  * reports, they count only when none can be a delayed one any more.
  */
-#include <string.h>
-
 #include "mesh/mesh_private.h"
-#include "util/text.h"
 
 #define FQ_SLOTS_SHARE 0.95 /* of its slots: some servers slow down when nearly full */
 
@@ -28,15 +25,16 @@
 {
   size_t cursor = 0;
   const fq_entry_connection_t *entry_connection;
-  fq_server_t server = mesh->gate.server;
+  fq_server_t *server = &mesh->self->server;
 
+  fq_server_set (server, &mesh->gate.server);
   if (mesh->gate_closed)
-    server.phase = FQ_PHASE_ABSENT;
-  mesh->self->server = server;
+    server->phase = FQ_PHASE_ABSENT;
   while ((entry_connection = fq_map_next (&mesh->entry_connections, &cursor)) != NULL)
     {
-      fq_frame_t frame = { .kind = FQ_FRAME_SERVER, .server = server };
+      fq_frame_t frame = { .kind = FQ_FRAME_SERVER };
 
+      fq_server_set (&frame.server, server);
       fq_mesh_send_to_entry (mesh, entry_connection->id, &frame);
     }
 }
@@ -49,14 +47,14 @@
   fq_mesh_log (mesh, phase == FQ_PHASE_ABSENT,
                "event=server-phase service=%s instance=%s from=%s to=%s reason=%s "
                "sequence=%llu in_flight=%u queued=%u",
-               gate->server.service, gate->server.instance,
-               fq_phase_name (gate->server.phase), fq_phase_name (phase), reason,
-               (unsigned long long)gate->server_sequence, gate->queue.in_flight,
-               gate->queue.queued);
+               fq_text_label (gate->server.service),
+               fq_text_label (gate->server.instance), fq_phase_name (gate->server.phase),
+               fq_phase_name (phase), reason, (unsigned long long)gate->server_sequence,
+               gate->queue.in_flight, gate->queue.queued);
   gate->server.phase = phase;
   if (phase == FQ_PHASE_READY)
     {
-      memcpy (mesh->service, gate->server.service, sizeof mesh->service);
+      fq_text_set (&mesh->service, gate->server.service);
       fq_server_crash_ready (mesh);
     }
   if (phase == FQ_PHASE_ABSENT)
@@ -89,7 +87,7 @@
     enter_phase (mesh, FQ_PHASE_DRAINING, reason);
   else
     fq_mesh_log (mesh, false, "event=server-drained instance=%s reason=%s left_ms=%lld",
-                 gate->server.instance, reason,
+                 fq_text_label (gate->server.instance), reason,
                  (long long)((gate->drain_until - mesh->now) / FQ_MICROSECONDS_PER_MS));
 }
 
@@ -142,10 +140,11 @@
 {
   fq_server_memory_t memory;
 
-  if (recall->instance[0] == '\0')
+  if (recall->instance == NULL)
     return;
   fq_server_memory_from_recall (recall, mesh->now, &memory);
   fq_server_memories_add (&mesh->gate.recalled, &memory);
+  fq_server_memory_clear (&memory);
   fq_server_state_apply_recalled (mesh);
 }
 
@@ -155,17 +154,17 @@
 record_leaving (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_time_t drain = (fq_time_t)mesh->params.drain_ms * FQ_MICROSECONDS_PER_MS;
-  fq_server_memory_t memory = {
+  const fq_server_memory_t memory = {
+    .instance = report->instance,
     .started_ms = report->started_ms,
     .leaving = true,
     .leaving_since = mesh->now - drain,
   };
 
-  memcpy (memory.instance, report->instance, sizeof memory.instance);
   fq_server_memories_add (&mesh->gate.recalled, &memory);
   fq_mesh_log (mesh, false, "event=leave-recorded instance=%s started_ms=%llu known=%s",
-               report->instance, (unsigned long long)report->started_ms,
-               mesh->gate.server.instance);
+               fq_text_label (report->instance), (unsigned long long)report->started_ms,
+               fq_text_label (mesh->gate.server.instance));
 }
 
 static void
@@ -191,7 +190,7 @@
 static bool
 is_service_known (const fq_mesh_t *mesh)
 {
-  return mesh->service[0] != '\0'
+  return mesh->service != NULL
          || (mesh->config != NULL
              && fq_config_find_service (mesh->config, mesh->gate.server.service) != NULL);
 }
@@ -241,7 +240,7 @@
 {
   fq_gate_t *gate = &mesh->gate;
 
-  gate->candidate = (fq_server_candidate_t){ 0 };
+  fq_server_clear_candidate (mesh);
   /* Also a process that was adopted just now may be remembered as leaving. */
   if (gate->drain_until != 0)
     {
@@ -274,10 +273,10 @@
   fq_mesh_log (mesh, false,
                "event=report-%s service=%s instance=%s started_ms=%llu sequence=%llu "
                "draining=%d known_instance=%s known_started_ms=%llu known=%llu",
-               stale ? "stale" : "unproven", report->service, report->instance,
-               (unsigned long long)report->started_ms,
+               stale ? "stale" : "unproven", fq_text_label (report->service),
+               fq_text_label (report->instance), (unsigned long long)report->started_ms,
                (unsigned long long)report->sequence, report->draining,
-               mesh->gate.server.instance,
+               fq_text_label (mesh->gate.server.instance),
                (unsigned long long)mesh->gate.server.started_ms,
                (unsigned long long)mesh->gate.server_sequence);
 }
@@ -289,7 +288,7 @@
 {
   const fq_server_t *server = &mesh->gate.server;
   bool was_candidate = fq_server_drop_candidate (mesh, report);
-  bool has_id = strcmp (server->instance, report->instance) == 0;
+  bool has_id = fq_text_equal (server->instance, report->instance);
 
   if (!fq_server_matches_report (server, report) && !(was_candidate && has_id))
     {
@@ -320,13 +319,13 @@
 fq_server_state_handle_report (fq_mesh_t *mesh, const fq_server_report_t *report)
 {
   fq_gate_t *gate = &mesh->gate;
-  bool is_first = gate->server.instance[0] == '\0';
+  bool is_first = gate->server.instance == NULL;
   fq_report_class_t class;
 
   if (!is_of_known_service (mesh, report))
     {
       fq_mesh_log (mesh, true, "event=report-refused instance=%s unknown_service=%s",
-                   report->instance, report->service);
+                   fq_text_label (report->instance), fq_text_label (report->service));
       return;
     }
   if (gate->drain_until != 0 && fq_server_matches_report (&gate->server, report)
@@ -370,7 +369,7 @@
   while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
     {
       if (peer != mesh->self && peer->link == FQ_LINK_UP
-          && strcmp (peer->server.service, mesh->service) == 0
+          && fq_text_equal (peer->server.service, mesh->service)
           && (limit == 0 || peer->gate_load.limit < limit))
         limit = peer->gate_load.limit;
     }
@@ -385,11 +384,11 @@
 
   if (gate->probed || gate->confirmed || gate->drain_until != 0 || mesh->config == NULL)
     return false;
-  return gate->server.instance[0] != '\0' || lowest_peer_limit (mesh) != 0;
+  return gate->server.instance != NULL || lowest_peer_limit (mesh) != 0;
 }
 
 bool
-fq_server_state_send_probe (fq_mesh_t *mesh, const char *service)
+fq_server_state_send_probe (fq_mesh_t *mesh, const fq_text_t *service)
 {
   const fq_service_t *known = NULL;
   fq_mesh_effect_t *effect;
@@ -399,7 +398,7 @@
   if (known == NULL)
     return false;
   effect = fq_mesh_add_effect (mesh, FQ_MESH_EFFECT_SERVER_PROBE);
-  fq_text_copy (effect->path, sizeof effect->path, known->probe_path);
+  effect->path = fq_text_ref (known->probe_path);
   return true;
 }
 
@@ -409,7 +408,7 @@
 fq_server_state_probe_if_uncertain (fq_mesh_t *mesh)
 {
   const fq_server_t *server = &mesh->gate.server;
-  const char *service = server->instance[0] != '\0' ? server->service : mesh->service;
+  const fq_text_t *service = server->instance != NULL ? server->service : mesh->service;
 
   if (should_probe (mesh))
     mesh->gate.probed = fq_server_state_send_probe (mesh, service);
@@ -417,12 +416,12 @@
 
 /* The health check was answered by the process that the first report named. */
 static void
-confirm_process (fq_mesh_t *mesh, const char *instance)
+confirm_process (fq_mesh_t *mesh, const fq_text_t *instance)
 {
   fq_gate_t *gate = &mesh->gate;
 
   if (gate->confirmed || gate->drain_until != 0
-      || strcmp (gate->server.instance, instance) != 0)
+      || !fq_text_equal (gate->server.instance, instance))
     return;
   gate->confirmed = true;
   enter_phase (mesh, FQ_PHASE_READY, "confirmed");
@@ -439,25 +438,25 @@
 }
 
 void
-fq_server_state_probe_contradicted (fq_mesh_t *mesh, const char *instance)
+fq_server_state_probe_contradicted (fq_mesh_t *mesh, const fq_text_t *instance)
 {
   fq_server_candidate_probed (mesh, instance, false);
-  if (strcmp (mesh->gate.server.instance, instance) == 0)
+  if (fq_text_equal (mesh->gate.server.instance, instance))
     mesh->gate.unhealthy = true;
 }
 
 void
 fq_server_state_probe_succeeded (fq_mesh_t *mesh,
-                                 const char *instance,
+                                 fq_text_t *instance,
                                  const fq_server_notice_t *notice)
 {
   fq_gate_t *gate = &mesh->gate;
   uint32_t limit = lowest_peer_limit (mesh);
 
   fq_server_candidate_probed (mesh, instance, true);
-  if (gate->server.instance[0] != '\0')
+  if (gate->server.instance != NULL)
     {
-      if (strcmp (gate->server.instance, instance) == 0)
+      if (fq_text_equal (gate->server.instance, instance))
         record_probe_notice (mesh, notice);
       confirm_process (mesh, instance);
       return;
@@ -465,8 +464,8 @@
   if (limit == 0 || fq_server_is_disputed (mesh, instance))
     return;
   gate->confirmed = true;
-  fq_text_copy (gate->server.instance, sizeof gate->server.instance, instance);
-  memcpy (gate->server.service, mesh->service, sizeof gate->server.service);
+  fq_text_set (&gate->server.instance, instance);
+  fq_text_set (&gate->server.service, mesh->service);
   gate->queue.limit = limit;
   arm_report_timer (mesh);
   fq_server_state_apply_recalled (mesh);
@@ -487,11 +486,11 @@
 {
   fq_server_t *server = &mesh->gate.server;
 
-  if (server->instance[0] != '\0' && !mesh->gate.confirmed && !is_service_known (mesh))
+  if (server->instance != NULL && !mesh->gate.confirmed && !is_service_known (mesh))
     {
       fq_mesh_log (mesh, true, "event=server-refused instance=%s unknown_service=%s",
-                   server->instance, server->service);
-      *server = (fq_server_t){ 0 };
+                   fq_text_label (server->instance), fq_text_label (server->service));
+      fq_server_clear (server);
       mesh->gate.drain_until = 0;
     }
   fq_server_recheck_candidate (mesh);
--- a/src/node/event_log.c
+++ b/src/node/event_log.c
@@ -17,8 +17,8 @@
 #include "util/text.h"
 
 #define FQ_LOG_NAME "filbertquay-node" /* of the log4c layout, appender and category */
-#define FQ_LOG_TEXT_BYTES 600
-#define FQ_LOG_LINE_BYTES 720
+#define FQ_LOG_TEXT_BYTES 1100
+#define FQ_LOG_LINE_BYTES 1400
 #define FQ_LOG_TIME_BYTES 32
 #define FQ_LOG_PENDING_BYTES_MAX (128 * 1024) /* not yet accepted by standard output */
 #define FQ_LOG_LINES_PER_SECOND 2000
@@ -28,7 +28,7 @@
 static struct
 {
   struct ev_loop *loop;
-  char node[FQ_NAME_BYTES];
+  char node[FQ_TEXT_LABEL_MAX + 1];
   ev_prepare flush;
   ev_timer retry;
   log4c_category_t *category;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -75,7 +75,7 @@
       fq_server_calls_close_idle (node->server);
       break;
     case FQ_MESH_EFFECT_SERVER_PROBE:
-      fq_server_calls_probe (node->server, effect->path);
+      fq_server_calls_probe (node->server, fq_text_chars (effect->path));
       break;
     case FQ_MESH_EFFECT_REQUEST_LIMITS:
       fq_node_http_set_limits (node, &effect->limits);
@@ -157,7 +157,10 @@
     abort ();
   pending->event = *event;
   if (event->kind == FQ_MESH_EVENT_REQUEST)
-    fq_http_message_ref (event->request.message);
+    {
+      fq_http_message_ref (event->request.message);
+      fq_mesh_request_ref (&pending->event.request);
+    }
   fq_list_append (&node->pending, &pending->link);
 }
 
@@ -183,7 +186,10 @@
       fq_list_remove (link);
       reduce (node, &pending->event);
       if (pending->event.kind == FQ_MESH_EVENT_REQUEST)
-        fq_http_message_unref (pending->event.request.message);
+        {
+          fq_http_message_unref (pending->event.request.message);
+          fq_mesh_request_clear (&pending->event.request);
+        }
       free (pending);
     }
   node->reducing = false;
@@ -338,7 +344,7 @@
 static void
 on_probed (void *context,
            fq_probe_outcome_t outcome,
-           const char *instance,
+           fq_text_t *instance,
            const fq_server_notice_t *notice)
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE };
@@ -418,8 +424,8 @@
   fq_time_t now = fq_clock_now ();
 
   options.address = node->address;
-  options.zone = node->settings.zone;
-  options.service = node->settings.service;
+  options.zone = fq_text_chars (node->settings.zone);
+  options.service = fq_text_chars (node->settings.service);
   options.seed = ((uint64_t)node->address << 32) ^ (uint64_t)now;
   options.params = (fq_mesh_params_t){
     .report_interval_ms = node->settings.report_interval_ms,
@@ -510,6 +516,9 @@
       return error;
     }
   node->settings = *settings;
+  fq_text_ref (settings->node);
+  fq_text_ref (settings->zone);
+  fq_text_ref (settings->service);
   node->io.limits.report = on_limit;
   fq_list_init (&node->pending);
   ev_timer_init (&node->timer, on_timer, 0., 0.);
@@ -523,10 +532,10 @@
       fq_node_close (node);
       return error;
     }
-  fq_event_log_printf (false,
-                       "event=start address=%08x zone=%s service=%s server=%s store=%s",
-                       node->address, settings->zone, settings->service,
-                       settings->server_address, settings->store_address);
+  fq_event_log_printf (
+      false, "event=start address=%08x zone=%s service=%s server=%s store=%s",
+      node->address, fq_text_label (settings->zone), fq_text_label (settings->service),
+      settings->server_address, settings->store_address);
   add_seeds (node);
   *out = node;
   return FQ_OK;
@@ -551,12 +560,15 @@
     {
       fq_event_log_printf (true, "event=reload-refused fault=\"%s\"",
                            fq_error_last ()->message);
-      return;
+      goto done;
     }
   memcpy (node->settings.seeds, settings.seeds, sizeof settings.seeds);
   node->settings.seed_count = settings.seed_count;
   fq_event_log_printf (false, "event=reload seeds=%zu", settings.seed_count);
   add_seeds (node);
+
+done:
+  fq_node_settings_clear (&settings);
 }
 
 void
@@ -575,5 +587,6 @@
   fq_mesh_free (node->mesh);
   fq_mesh_effects_free (&node->effects);
   fq_io_close (&node->io);
+  fq_node_settings_clear (&node->settings);
   free (node);
 }
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -76,6 +76,7 @@
   event.request.message = message;
   fq_platform_read_request (message, &event.request);
   fq_node_dispatch (node, &event);
+  fq_mesh_request_clear (&event.request);
 }
 
 static void
@@ -203,6 +204,7 @@
     {
       fq_event_log_printf (true, "event=report-refused fault=\"%s\"",
                            fq_error_last ()->message);
+      fq_server_report_clear (&event.report);
       send_reply (
           node->reports, id,
           error == FQ_ERROR_NOTFOUND ? FQ_STATUS_NOT_FOUND : FQ_STATUS_BAD_REQUEST, NULL);
@@ -211,6 +213,7 @@
   event.kind
       = call_kind == FQ_PLATFORM_REPORT ? FQ_MESH_EVENT_REPORT : FQ_MESH_EVENT_DEREGISTER;
   fq_node_dispatch (node, &event);
+  fq_server_report_clear (&event.report);
   send_reply (node->reports, id, FQ_STATUS_OK, "{}");
 }
 
--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -27,7 +27,7 @@
   fq_server_calls_t *calls;
   fq_id_t run;
   fq_http_call_t *call;
-  char request_id[FQ_REQUEST_ID_BYTES];
+  fq_text_t *request_id;
 } server_call_t;
 
 struct fq_server_calls
@@ -39,11 +39,18 @@
   char address[FQ_ADDRESS_BYTES];
 };
 
+static void
+release_call (server_call_t *call)
+{
+  fq_text_unref (call->request_id);
+  free (call);
+}
+
 static void
 free_call (server_call_t *call)
 {
   fq_map_remove (&call->calls->by_run, call->run);
-  free (call);
+  release_call (call);
 }
 
 static fq_http_match_t
@@ -147,7 +154,7 @@
     abort ();
   call->calls = calls;
   call->run = effect->server_call.run;
-  memcpy (call->request_id, effect->server_call.request_id, sizeof call->request_id);
+  call->request_id = fq_text_ref (effect->server_call.request_id);
   if (fq_http_client_call (&call->call, calls->client, request, &options, &call_handlers,
                            call)
       < 0)
@@ -169,15 +176,16 @@
 on_probe_answered (void *context, fq_http_message_t *answer)
 {
   fq_server_calls_t *calls = context;
-  char instance[FQ_INSTANCE_BYTES];
+  fq_text_t *instance;
   fq_server_notice_t notice;
-  bool healthy = fq_platform_read_probe_answer (answer, instance, sizeof instance);
+  bool healthy = fq_platform_read_probe_answer (answer, &instance);
 
   fq_platform_read_notice (answer, &notice);
   if (!healthy)
     fq_event_log_printf (true, "event=probe-refused status=%u", answer->status);
   calls->handlers->probed (
       calls->context, healthy ? FQ_PROBE_HEALTHY : FQ_PROBE_UNHEALTHY, instance, &notice);
+  fq_text_unref (instance);
 }
 
 static void
@@ -190,7 +198,7 @@
   calls->handlers->probed (calls->context,
                            failure == FQ_HTTP_FAILURE_CONNECT ? FQ_PROBE_REFUSED
                                                               : FQ_PROBE_UNANSWERED,
-                           "", &no_notice);
+                           NULL, &no_notice);
 }
 
 static const fq_http_call_handlers_t probe_handlers = {
@@ -241,7 +249,7 @@
     return;
   fq_http_client_free (calls->client);
   while ((call = fq_map_next (&calls->by_run, &cursor)) != NULL)
-    free (call);
+    release_call (call);
   fq_map_clear (&calls->by_run);
   free (calls);
 }
--- a/src/node/server_calls.h
+++ b/src/node/server_calls.h
@@ -22,7 +22,7 @@
   /* A health check ended. @instance: of the server that answered; empty: not known */
   void (*probed) (void *context,
                   fq_probe_outcome_t outcome,
-                  const char *instance,
+                  fq_text_t *instance,
                   const fq_server_notice_t *notice);
 } fq_server_calls_handlers_t;
 
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -28,7 +28,7 @@
 };
 
 static const fq_field_t server_fields[] = {
-  { "service", FQ_FIELD_NAME, FIELD (service) },
+  { "service", FQ_FIELD_TEXT, FIELD (service) },
   { "address", FQ_FIELD_ADDRESS, .required = true, FIELD (server_address) },
   { "report_interval", FQ_FIELD_DURATION, .required = true, FIELD (report_interval_ms),
     .min = 1, .max = FQ_DURATION_MS_MAX },
@@ -62,8 +62,8 @@
 };
 
 static const fq_field_t fields[] = {
-  { "node", FQ_FIELD_NAME, .required = true, FIELD (node) },
-  { "zone", FQ_FIELD_NAME, .required = true, FIELD (zone) },
+  { "node", FQ_FIELD_TEXT, .required = true, FIELD (node) },
+  { "zone", FQ_FIELD_TEXT, .required = true, FIELD (zone) },
   { "ip", FQ_FIELD_IP, .required = true, FIELD (ip) },
   { "store", FQ_FIELD_ADDRESS, .required = true, FIELD (store_address) },
   { "listen", FQ_FIELD_OBJECT, .required = true, .fields = listen_fields },
@@ -84,11 +84,11 @@
   json_error_t parse_error;
   json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, &parse_error);
 
+  *out = (fq_node_settings_t){ 0 };
   if (root == NULL)
     return fq_error_set (FQ_ERROR_CLASS_SETTINGS,
                          parse_error.line < 0 ? FQ_ERROR_IO : FQ_ERROR_INVALID,
                          "%s:%d: %s", path, parse_error.line, parse_error.text);
-  *out = (fq_node_settings_t){ 0 };
   if (json_is_object (root))
     fq_reader_read (&reader, out, fields, root);
   else
@@ -100,3 +100,12 @@
                        path, reader.error_count, reader.error_count == 1 ? "" : "s",
                        reader.errors);
 }
+
+void
+fq_node_settings_clear (fq_node_settings_t *settings)
+{
+  fq_text_unref (settings->node);
+  fq_text_unref (settings->zone);
+  fq_text_unref (settings->service);
+  *settings = (fq_node_settings_t){ 0 };
+}
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -5,16 +5,17 @@
 #define FQ_NODE_SETTINGS_H
 
 #include "filbertquay/types.h"
+#include "util/text.h"
 
 #define FQ_NODE_SEEDS_MAX 16
 
 /** struct fq_node_settings_t - validated settings; addresses are "ip:port". */
 typedef struct
 {
-  char node[FQ_NAME_BYTES];
-  char zone[FQ_NAME_BYTES];
+  fq_text_t *node;
+  fq_text_t *zone;
   char ip[FQ_ADDRESS_BYTES];
-  char service[FQ_NAME_BYTES];           /* of the local server; empty: not stated */
+  fq_text_t *service;                    /* of the local server; empty: not stated */
   char server_address[FQ_ADDRESS_BYTES]; /* on which the local server listens */
   char requests_address[FQ_ADDRESS_BYTES];
   char readiness_address[FQ_ADDRESS_BYTES];
@@ -37,10 +38,14 @@
 
 /**
  * fq_node_settings_load() - read and validate the settings file @path.
+ * @out: for fq_node_settings_clear(), also on failure
  *
  * Return: 0; FQ_ERROR_IO: not readable; FQ_ERROR_INVALID: all errors of the file are in
  * the last error message.
  */
 int fq_node_settings_load (fq_node_settings_t *out, const char *path);
 
+/** fq_node_settings_clear() - drop the references of @settings and zero it. */
+void fq_node_settings_clear (fq_node_settings_t *settings);
+
 #endif
--- a/src/settings/reader.c
+++ b/src/settings/reader.c
@@ -136,6 +136,34 @@
   read_text (reader, to, field, value, is_name, allowed);
 }
 
+static bool
+has_control_character (const char *text)
+{
+  for (; *text != '\0'; text++)
+    {
+      if (iscntrl ((unsigned char)*text))
+        return true;
+    }
+  return false;
+}
+
+static void
+read_shared_text (fq_reader_t *reader,
+                  fq_text_t **to,
+                  const fq_field_t *field,
+                  const json_t *value)
+{
+  const char *text = json_string_value (value);
+
+  if (text == NULL || text[0] == '\0' || has_control_character (text))
+    {
+      add_value_error (reader, field, value, "a string without control characters");
+      return;
+    }
+  fq_text_unref (*to);
+  *to = fq_text_new (text);
+}
+
 static bool
 is_integer_in_range (const json_t *value, json_int_t min, json_int_t max)
 {
@@ -379,6 +407,9 @@
     case FQ_FIELD_NAME:
       read_name (reader, to, field, value);
       break;
+    case FQ_FIELD_TEXT:
+      read_shared_text (reader, to, field, value);
+      break;
     case FQ_FIELD_IP:
       read_text (reader, to, field, value, is_ip, "an IPv4 address");
       break;
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "filbertquay/types.h"
+#include "util/text.h"
 
 #define FQ_READER_PATH_BYTES 256
 #define FQ_READER_ERRORS_BYTES 8000
@@ -19,6 +20,7 @@
 typedef enum
 {
   FQ_FIELD_NAME,      /* letters, digits, '.', '_' and '-'; char[] */
+  FQ_FIELD_TEXT,      /* any characters but control characters; fq_text_t * */
   FQ_FIELD_IP,        /* IPv4; char[] */
   FQ_FIELD_ADDRESS,   /* "ip:port"; char[] */
   FQ_FIELD_PORT,      /* 1 to 65535; int */
--- a/src/sidecar/filbertquay_node.c
+++ b/src/sidecar/filbertquay_node.c
@@ -152,6 +152,7 @@
   if (options.check)
     {
       printf ("%s: no faults\n", options.path);
+      fq_node_settings_clear (&settings);
       return EXIT_SUCCESS;
     }
   loop = ev_default_loop (EVBACKEND_EPOLL);
@@ -160,13 +161,14 @@
       fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_IO, "can't create an epoll event loop");
       goto fail;
     }
-  if (fq_event_log_open (loop, settings.node, settings.log_level > 0) < 0
+  if (fq_event_log_open (loop, fq_text_label (settings.node), settings.log_level > 0) < 0
       || fq_node_open (&node, loop, &settings, options.path) < 0)
     goto fail;
   run_node (loop, node);
   fq_node_close (node);
   fq_event_log_printf (false, "event=end");
   fq_event_log_close ();
+  fq_node_settings_clear (&settings);
   return EXIT_SUCCESS;
 
 fail:
--- a/src/wire/mesh_codec.c
+++ b/src/wire/mesh_codec.c
@@ -37,8 +37,8 @@
 server_to_wire (wire_frame_t *wire, const fq_server_t *server)
 {
   fq__mesh__server__init (&wire->server);
-  wire->server.service = (char *)server->service;
-  wire->server.instance = (char *)server->instance;
+  wire->server.service = (char *)fq_text_chars (server->service);
+  wire->server.instance = (char *)fq_text_chars (server->instance);
   wire->server.phase = server->phase;
   wire->server.started_ms = server->started_ms;
   wire->frame.server = &wire->server;
@@ -47,10 +47,10 @@
 static void
 recall_to_wire (wire_frame_t *wire, const fq_server_recall_t *recall)
 {
-  if (recall->instance[0] == '\0')
+  if (recall->instance == NULL)
     return;
   fq__mesh__recall__init (&wire->recall);
-  wire->recall.instance = (char *)recall->instance;
+  wire->recall.instance = (char *)fq_text_chars (recall->instance);
   wire->recall.started_ms = recall->started_ms;
   wire->recall.leaving = recall->leaving;
   wire->recall.leaving_ms = recall->leaving_ms;
@@ -63,9 +63,9 @@
 offer_to_wire (wire_frame_t *wire, const fq_offer_t *offer)
 {
   fq__mesh__offer__init (&wire->offer);
-  wire->offer.service = (char *)offer->service;
-  wire->offer.request_id = (char *)offer->request_id;
-  wire->offer.caller = (char *)offer->caller;
+  wire->offer.service = (char *)fq_text_chars (offer->service);
+  wire->offer.request_id = (char *)fq_text_chars (offer->request_id);
+  wire->offer.caller = (char *)fq_text_chars (offer->caller);
   wire->offer.rank = offer->rank;
   wire->offer.remaining_ms = offer->remaining_ms;
   wire->offer.latency_objective_ms = offer->latency_objective_ms;
@@ -107,7 +107,7 @@
   wire->frame.retry_after_ms = frame->retry_after_ms;
   wire->frame.number = frame->number;
   wire->frame.alone = frame->alone;
-  wire->frame.zone = (char *)frame->zone;
+  wire->frame.zone = (char *)fq_text_chars (frame->zone);
   wire->frame.n_nodes = frame->node_count;
   wire->frame.nodes = frame->nodes;
   wire->frame.n_fingerprints = frame->fingerprint_count;
@@ -249,9 +249,9 @@
 static void
 offer_from_wire (fq_offer_t *out, const Fq__Mesh__Offer *wire)
 {
-  fq_text_copy (out->service, sizeof out->service, wire->service);
-  fq_text_copy (out->request_id, sizeof out->request_id, wire->request_id);
-  fq_text_copy (out->caller, sizeof out->caller, wire->caller);
+  out->service = fq_text_new (wire->service);
+  out->request_id = fq_text_new (wire->request_id);
+  out->caller = fq_text_new (wire->caller);
   out->rank = wire->rank;
   out->remaining_ms = wire->remaining_ms;
   out->latency_objective_ms = wire->latency_objective_ms;
@@ -266,7 +266,7 @@
 static void
 recall_from_wire (fq_server_recall_t *out, const Fq__Mesh__Recall *wire)
 {
-  fq_text_copy (out->instance, sizeof out->instance, wire->instance);
+  out->instance = fq_text_new (wire->instance);
   out->started_ms = wire->started_ms;
   out->leaving = wire->leaving;
   out->leaving_ms = wire->leaving_ms;
@@ -288,8 +288,8 @@
     };
   if (wire->server != NULL)
     {
-      fq_text_copy (out->server.service, FQ_NAME_BYTES, wire->server->service);
-      fq_text_copy (out->server.instance, FQ_INSTANCE_BYTES, wire->server->instance);
+      out->server.service = fq_text_new (wire->server->service);
+      out->server.instance = fq_text_new (wire->server->instance);
       out->server.phase = (fq_phase_t)wire->server->phase;
       out->server.started_ms = wire->server->started_ms;
     }
@@ -329,7 +329,7 @@
     .fingerprint_count = wire->n_fingerprints,
     .document_size = wire->document.len,
   };
-  fq_text_copy (out->zone, sizeof out->zone, wire->zone);
+  out->zone = fq_text_new (wire->zone);
   out->nodes = copy_bytes (wire->nodes, wire->n_nodes * sizeof *out->nodes);
   out->fingerprints
       = copy_bytes (wire->fingerprints, wire->n_fingerprints * sizeof *out->fingerprints);
--- a/standins/server.c
+++ b/standins/server.c
@@ -42,7 +42,7 @@
 #define SLOTS 20
 #define LARGE_BYTES 12000000
 #define NEVER_SECONDS 3600. /* longer than any test, so that the answer is not sent */
-#define FIELD_BYTES 128
+#define FIELD_BYTES 4096
 #define DESCRIPTORS_MAX 1024
 #define ID_ARGUMENT 4
 #define REPORTED_ARGUMENT 6
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -21,6 +21,8 @@
 #define FLEET_RUNS_MAX 512
 #define FLEET_REPLIES_MAX 512
 #define FLEET_MESSAGES_MAX 4096
+#define FLEET_TEXT_BYTES 256
+#define FLEET_TEXTS_MAX 1024
 #define FLEET_BODY_BYTES_MAX 1000 /* of all requests at one gate */
 #define FLEET_MEMORY_BYTES 100000 /* that a node may hold altogether */
 
@@ -29,9 +31,9 @@
 {
   size_t node;
   fq_id_t run;
-  char request_id[FQ_REQUEST_ID_BYTES];
-  char caller[FQ_NAME_BYTES];
-  char instance[FQ_INSTANCE_BYTES];
+  char request_id[FLEET_TEXT_BYTES];
+  char caller[FLEET_TEXT_BYTES];
+  char instance[FLEET_TEXT_BYTES];
   uint32_t remaining_ms;
   fq_time_t started;
   bool ended; /* answered, failed or aborted */
@@ -64,17 +66,17 @@
 {
   fq_mesh_t *mesh; /* NULL after fleet_kill() */
   bool down;
-  bool silent;                      /* cut off by the network */
-  bool frozen;                      /* its process stands still */
-  bool stopped;                     /* it completed its graceful shutdown */
-  bool output_pending;              /* its clients have not taken all output */
-  bool probed;                      /* its server has a probe to answer */
-  char instance[FQ_INSTANCE_BYTES]; /* of its server */
-  bool draining;                    /* its server drains */
-  bool service_unset;               /* its settings name no service */
-  bool server_down;                 /* its server takes no connections */
-  bool server_silent;               /* its server answers no probes */
-  unsigned int generation;          /* number of its start */
+  bool silent;                     /* cut off by the network */
+  bool frozen;                     /* its process stands still */
+  bool stopped;                    /* it completed its graceful shutdown */
+  bool output_pending;             /* its clients have not taken all output */
+  bool probed;                     /* its server has a probe to answer */
+  char instance[FLEET_TEXT_BYTES]; /* of its server */
+  bool draining;                   /* its server drains */
+  bool service_unset;              /* its settings name no service */
+  bool server_down;                /* its server takes no connections */
+  bool server_silent;              /* its server answers no probes */
+  unsigned int generation;         /* number of its start */
   uint64_t sequence;
 } fleet_node_t;
 
@@ -94,6 +96,23 @@
   uint64_t memory_held; /* by each node, as its shell counts */
 } fleet_t;
 
+/* A string that lives as long as the test. */
+static inline fq_text_t *
+fleet_text (const char *chars)
+{
+  static fq_text_t *texts[FLEET_TEXTS_MAX];
+  static size_t count;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strcmp (fq_text_chars (texts[i]), chars) == 0)
+        return texts[i];
+    }
+  ck_assert_uint_lt (count, FLEET_TEXTS_MAX);
+  texts[count] = fq_text_new (chars);
+  return texts[count++];
+}
+
 static inline fq_node_address_t
 fleet_address (size_t node)
 {
@@ -136,6 +155,11 @@
     return;
   message->frame = *frame;
   fq_http_message_ref (message->frame.message);
+  fq_text_ref (message->frame.zone);
+  fq_text_ref (message->frame.recall.instance);
+  fq_text_ref (message->frame.server.service);
+  fq_text_ref (message->frame.server.instance);
+  fq_offer_ref (&message->frame.offer);
   message->frame.nodes = NULL;
   message->frame.fingerprints = NULL;
   message->frame.document = NULL;
@@ -185,9 +209,9 @@
     .remaining_ms = effect->server_call.remaining_ms,
     .started = fleet->now,
   };
-  strcpy (run->request_id, effect->server_call.request_id);
-  strcpy (run->caller, effect->server_call.caller);
-  strcpy (run->instance, effect->server_call.instance);
+  strcpy (run->request_id, fq_text_chars (effect->server_call.request_id));
+  strcpy (run->caller, fq_text_chars (effect->server_call.caller));
+  strcpy (run->instance, fq_text_chars (effect->server_call.instance));
 }
 
 static inline void
@@ -280,7 +304,7 @@
   if (!at->probed)
     return;
   at->probed = false;
-  event.probe.instance = at->instance;
+  event.probe.instance = fleet_text (at->instance);
   event.probe.outcome = fleet_probe_outcome (at);
   if (at->server_down || at->server_silent || at->instance[0] != '\0')
     fleet_feed (fleet, node, &event);
@@ -435,8 +459,8 @@
 
   strcpy (fleet->nodes[node].instance, instance);
   fleet->nodes[node].draining = draining;
-  strcpy (event.report.instance, instance);
-  strcpy (event.report.service, node == 0 ? "front" : "back");
+  event.report.instance = fleet_text (instance);
+  event.report.service = fleet_text (node == 0 ? "front" : "back");
   event.report.started_ms = started;
   event.report.sequence = ++fleet->nodes[node].sequence;
   event.report.slots = 10;
@@ -511,20 +535,20 @@
   config->services = calloc (config->service_count, sizeof *config->services);
   for (size_t i = 0; i < config->service_count; i++)
     {
-      strcpy (config->services[i].name, i == 0 ? "front" : "back");
-      config->services[i].probe_path = strdup ("/health");
+      config->services[i].name = fq_text_new (i == 0 ? "front" : "back");
+      config->services[i].probe_path = fq_text_new ("/health");
     }
   config->hosts = calloc (1, sizeof *config->hosts);
   config->host_count = 1;
   host = &config->hosts[0];
-  strcpy (host->host, "h");
+  host->host = strdup ("h");
   host->route_count = sizeof prefixes / sizeof prefixes[0];
   host->routes = calloc (host->route_count, sizeof *host->routes);
   for (size_t i = 0; i < host->route_count; i++)
     {
       fq_route_t *route = &host->routes[i];
 
-      strcpy (route->name, prefixes[i] + 1);
+      route->name = fq_text_new (prefixes[i] + 1);
       route->prefix = strdup (prefixes[i]);
       route->idempotent = i == 0;
       route->timeout_ms = timeout_ms;
@@ -532,7 +556,7 @@
       route->servers_max = 2;
       route->targets = calloc (1, sizeof *route->targets);
       route->target_count = 1;
-      strcpy (route->targets[0].service, services[i]);
+      route->targets[0].service = fq_text_new (services[i]);
       route->targets[0].weight = 1;
     }
   fq_config_finalize (config);
@@ -584,9 +608,9 @@
   if (body_bytes > 0)
     ck_assert_int_eq (fq_blob_new (&message->body, NULL, body_bytes), 0);
   event.request.id = ++fleet->next_request;
-  strcpy (event.request.request_id, request_id);
-  strcpy (event.request.parent_id, parent);
-  strcpy (event.request.host, "h");
+  event.request.request_id = fleet_text (request_id);
+  event.request.parent_id = fleet_text (parent);
+  event.request.host = fleet_text ("h");
   event.request.remaining_ms = 5000;
   event.request.message = message;
   fleet_feed (fleet, node, &event);
@@ -680,8 +704,8 @@
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ENTRY_FRAME };
   fq_frame_t frame = { .kind = FQ_FRAME_OFFER, .attempt = ++attempt };
 
-  strcpy (frame.offer.service, "back");
-  strcpy (frame.offer.request_id, request_id);
+  frame.offer.service = fleet_text ("back");
+  frame.offer.request_id = fleet_text (request_id);
   frame.offer.rank = 6;
   frame.offer.route = 1;
   frame.offer.chain = attempt;
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -51,14 +51,14 @@
 {
   fq_mesh_event_t deregistration = { .kind = FQ_MESH_EVENT_DEREGISTER };
 
-  strcpy (deregistration.report.instance, "i-0");
+  deregistration.report.instance = fleet_text ("i-0");
   for (size_t i = 1; i < FLEET_NODES; i++)
     fleet_feed (&fleet, i, &deregistration);
   fleet_advance (&fleet, 2500);
   fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
   fleet_advance (&fleet, 10);
   ck_assert_uint_eq (fleet.run_count, 1);
-  strcpy (deregistration.report.instance, "i-1");
+  deregistration.report.instance = fleet_text ("i-1");
   for (size_t i = 1; i < FLEET_NODES; i++)
     fleet_feed (&fleet, i, &deregistration);
   fleet_advance (&fleet, 2500);
@@ -78,7 +78,7 @@
   fleet_kill (&fleet, 1);
   fleet_start (&fleet, 1);
   fleet_advance (&fleet, 300);
-  strcpy (deregistration.report.instance, "i-1");
+  deregistration.report.instance = fleet_text ("i-1");
   deregistration.report.started_ms = 1000;
   fleet_feed (&fleet, 1, &deregistration);
   fleet_report (&fleet, 1, "i-1", 1000, false);
@@ -103,8 +103,8 @@
   fleet_kill (&fleet, 1);
   fleet_start (&fleet, 1);
   fleet_advance (&fleet, 300);
-  strcpy (delayed.report.instance, "i-1");
-  strcpy (delayed.report.service, "back");
+  delayed.report.instance = fleet_text ("i-1");
+  delayed.report.service = fleet_text ("back");
   delayed.report.started_ms = 1000;
   delayed.report.sequence = 1;
   delayed.report.slots = 10;
@@ -121,8 +121,8 @@
 {
   fq_mesh_event_t report = { .kind = FQ_MESH_EVENT_REPORT };
 
-  strcpy (report.report.instance, "i-1");
-  strcpy (report.report.service, "back");
+  report.report.instance = fleet_text ("i-1");
+  report.report.service = fleet_text ("back");
   report.report.started_ms = 1000;
   report.report.sequence = sequence;
   report.report.slots = 10;
@@ -199,8 +199,8 @@
   fq_mesh_event_t delayed = { .kind = FQ_MESH_EVENT_REPORT };
 
   fleet_report (&fleet, 1, "i-2", 2000, false);
-  strcpy (delayed.report.instance, "i-1");
-  strcpy (delayed.report.service, "back");
+  delayed.report.instance = fleet_text ("i-1");
+  delayed.report.service = fleet_text ("back");
   delayed.report.started_ms = 1000;
   delayed.report.sequence = 99;
   delayed.report.slots = 10;
@@ -222,8 +222,8 @@
 
   fleet_kill (&fleet, 2);
   fleet_kill (&fleet, 3);
-  strcpy (foreign.report.instance, "i-foreign");
-  strcpy (foreign.report.service, "nobody");
+  foreign.report.instance = fleet_text ("i-foreign");
+  foreign.report.service = fleet_text ("nobody");
   foreign.report.started_ms = 9000;
   foreign.report.sequence = 1;
   foreign.report.slots = 10;
@@ -345,7 +345,7 @@
 static void
 offer_request (const char *prefix, int number)
 {
-  char id[FQ_REQUEST_ID_BYTES];
+  char id[FLEET_TEXT_BYTES];
 
   snprintf (id, sizeof id, "%s-%d", prefix, number);
   fleet_offer (&fleet, 1, id, false);
@@ -375,7 +375,7 @@
     {
       for (int i = 0; i < 3; i++)
         {
-          char parent[FQ_REQUEST_ID_BYTES];
+          char parent[FLEET_TEXT_BYTES];
 
           snprintf (parent, sizeof parent, "parent-%d", i);
           offer_request ("parent", i);
@@ -426,7 +426,7 @@
   for (int round = 0; round < 3; round++)
     {
       size_t first = fleet.run_count;
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       for (int i = 0; i < 9; i++)
         {
@@ -506,8 +506,8 @@
   fq_frame_t cancel = { .kind = FQ_FRAME_CANCEL, .attempt = 5 };
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_ENTRY_FRAME };
 
-  strcpy (offer.offer.service, "back");
-  strcpy (offer.offer.request_id, "r1");
+  offer.offer.service = fleet_text ("back");
+  offer.offer.request_id = fleet_text ("r1");
   offer.offer.remaining_ms = 2000;
   offer.offer.route = 1;
   offer.offer.fingerprint = 7;
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -58,7 +58,7 @@
   config->hosts = calloc (1, sizeof *config->hosts);
   config->host_count = 1;
   host = &config->hosts[0];
-  strcpy (host->host, "one.example");
+  host->host = strdup ("one.example");
   host->routes = calloc (2, sizeof *host->routes);
   host->route_count = 2;
   for (size_t i = 0; i < 2; i++)
@@ -68,8 +68,8 @@
       route->prefix = strdup (i == 0 ? "/a/" : "/a/b/");
       route->targets = calloc (2, sizeof *route->targets);
       route->target_count = 2;
-      strcpy (route->targets[0].service, "left");
-      strcpy (route->targets[1].service, "right");
+      route->targets[0].service = fq_text_new ("left");
+      route->targets[1].service = fq_text_new ("right");
       route->targets[0].weight = 90;
       route->targets[1].weight = 10;
     }
@@ -116,7 +116,7 @@
       int right = 0;
 
       for (int i = 0; i < 20; i++)
-        right += strcmp (fq_route_next_target (route), "right") == 0;
+        right += strcmp (fq_text_chars (fq_route_next_target (route)), "right") == 0;
       ck_assert_int_eq (right, 2);
     }
   fq_config_unref (config);
--- a/tests/mesh/test_pauses.c
+++ b/tests/mesh/test_pauses.c
@@ -41,7 +41,7 @@
 
 START_TEST (test_request_whose_wait_is_over_does_not_start_after_a_pause)
 {
-  char id[FQ_REQUEST_ID_BYTES];
+  char id[FLEET_TEXT_BYTES];
 
   for (int i = 0; i < SLOTS + 1; i++)
     {
@@ -71,8 +71,8 @@
 {
   fq_frame_t offer = { .kind = FQ_FRAME_OFFER, .attempt = 77 };
 
-  strcpy (offer.offer.service, "back");
-  strcpy (offer.offer.request_id, "once");
+  offer.offer.service = fleet_text ("back");
+  offer.offer.request_id = fleet_text ("once");
   offer.offer.rank = 6;
   offer.offer.route = 1;
   offer.offer.chain = 1;
@@ -133,9 +133,9 @@
 
   pause_all (1000);
   offer_for_grant ();
-  strcpy (event.report.instance, "i-next");
+  event.report.instance = fleet_text ("i-next");
   strcpy (fleet.nodes[1].instance, "i-next"); /* answers health checks too */
-  strcpy (event.report.service, services[_i]);
+  event.report.service = fleet_text (services[_i]);
   event.report.started_ms = 2000;
   event.report.sequence = 1;
   event.report.slots = 10;
@@ -194,7 +194,7 @@
   fleet_advance (&fleet, 1000);
   for (int i = 0; i < 10; i++)
     {
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       snprintf (id, sizeof id, "new-%d", i);
       fleet_send_request (&fleet, 0, "/safe/1", id, "");
--- a/tests/mesh/test_server_crash.c
+++ b/tests/mesh/test_server_crash.c
@@ -78,7 +78,7 @@
 static void
 start_server (size_t node, evidence_t evidence)
 {
-  char instance[FQ_INSTANCE_BYTES];
+  char instance[FLEET_TEXT_BYTES];
 
   fleet.nodes[node].server_down = false;
   fleet.nodes[node].server_silent = false;
@@ -344,7 +344,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_DEREGISTER };
   fq_server_notice_t notice = { .leaving = true };
-  char instance[FQ_INSTANCE_BYTES];
+  char instance[FLEET_TEXT_BYTES];
   fleet_run_t *run;
 
   memcpy (instance, fleet.nodes[node].instance, sizeof instance);
@@ -354,7 +354,7 @@
       fleet_report (&fleet, node, instance, starts, true);
       break;
     case END_DEREGISTERED:
-      strcpy (event.report.instance, instance);
+      event.report.instance = fleet_text (instance);
       fleet_feed (&fleet, node, &event);
       break;
     case END_SAID_LEAVING:
@@ -375,7 +375,7 @@
 static void
 report_again (size_t node)
 {
-  char instance[FQ_INSTANCE_BYTES];
+  char instance[FLEET_TEXT_BYTES];
 
   memcpy (instance, fleet.nodes[node].instance, sizeof instance);
   fleet_report (&fleet, node, instance, starts, false);
--- a/tests/mesh/test_server_identity.c
+++ b/tests/mesh/test_server_identity.c
@@ -39,8 +39,8 @@
     .draining = draining,
   };
 
-  strcpy (report.instance, instance);
-  strcpy (report.service, service);
+  report.instance = fleet_text (instance);
+  report.service = fleet_text (service);
   return report;
 }
 
@@ -57,7 +57,7 @@
 {
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_DEREGISTER };
 
-  strcpy (event.report.instance, instance);
+  event.report.instance = fleet_text (instance);
   event.report.started_ms = started;
   fleet_feed (&fleet, node, &event);
 }
@@ -82,7 +82,7 @@
 
   for (int i = 0; i < 20; i++)
     {
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       snprintf (id, sizeof id, "r-%d-%zu", i, first);
       fleet_send_request (&fleet, entry, "/safe/1", id, "");
--- a/tests/mesh/test_server_notice.c
+++ b/tests/mesh/test_server_notice.c
@@ -125,7 +125,7 @@
 
   for (uint32_t i = 0; i < seconds * REQUESTS_PER_SECOND; i++)
     {
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       snprintf (id, sizeof id, "r%u-%zu", i, first);
       fleet_send_request (&fleet, 0, "/safe/x", id, "");
@@ -200,7 +200,7 @@
   fleet.reply_count = 0;
   for (int i = 0; i < 60; i++)
     {
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       snprintf (id, sizeof id, "burst-%d", i);
       fleet_send_request (&fleet, 0, "/safe/x", id, "");
@@ -331,7 +331,7 @@
   before = fleet.run_count;
   for (int i = 0; i < 30; i++)
     {
-      char id[FQ_REQUEST_ID_BYTES];
+      char id[FLEET_TEXT_BYTES];
 
       snprintf (id, sizeof id, "after-%d", i);
       fleet_send_request (&fleet, 0, "/safe/x", id, "");
--- a/tests/node/test_mesh_codec.c
+++ b/tests/node/test_mesh_codec.c
@@ -40,8 +40,8 @@
 {
   fq_frame_t offer = { .kind = FQ_FRAME_OFFER, .attempt = 7 };
 
-  strcpy (offer.offer.service, "back");
-  strcpy (offer.offer.request_id, "r1");
+  offer.offer.service = fq_text_new ("back");
+  offer.offer.request_id = fq_text_new ("r1");
   offer.offer.route = 1;
   offer.offer.fingerprint = 2;
   offer.offer.remaining_ms = 500;
@@ -55,9 +55,10 @@
   ck_assert_int_eq (round_trip (&offer), 0);
   ck_assert_int_eq (frame.kind, FQ_FRAME_OFFER);
   ck_assert_uint_eq (frame.attempt, 7);
-  ck_assert_str_eq (frame.offer.service, "back");
-  ck_assert_str_eq (frame.offer.request_id, "r1");
+  ck_assert_str_eq (fq_text_chars (frame.offer.service), "back");
+  ck_assert_str_eq (fq_text_chars (frame.offer.request_id), "r1");
   ck_assert_uint_eq (frame.offer.remaining_ms, 500);
+  fq_frame_clear (&offer);
 }
 END_TEST
 
@@ -65,7 +66,7 @@
 {
   fq_frame_t hello = { .kind = FQ_FRAME_HELLO };
 
-  strcpy (hello.recall.instance, "i-1");
+  hello.recall.instance = fq_text_new ("i-1");
   hello.recall.started_ms = 1700000000000;
   hello.recall.leaving = true;
   hello.recall.leaving_ms = 700;
@@ -73,13 +74,14 @@
   hello.recall.rate_age_ms = 40;
   hello.gate_load.rate_limit = 26.3;
   ck_assert_int_eq (round_trip (&hello), 0);
-  ck_assert_str_eq (frame.recall.instance, "i-1");
+  ck_assert_str_eq (fq_text_chars (frame.recall.instance), "i-1");
   ck_assert_uint_eq (frame.recall.started_ms, 1700000000000);
   ck_assert (frame.recall.leaving);
   ck_assert_uint_eq (frame.recall.leaving_ms, 700);
   ck_assert_double_eq (frame.recall.rate_limit, 2.5);
   ck_assert_uint_eq (frame.recall.rate_age_ms, 40);
   ck_assert_double_eq (frame.gate_load.rate_limit, 26.3);
+  fq_frame_clear (&hello);
 }
 END_TEST
 
@@ -87,10 +89,11 @@
 {
   fq_frame_t told = { .kind = FQ_FRAME_SERVER };
 
-  strcpy (told.server.instance, "i-1");
+  told.server.instance = fq_text_new ("i-1");
   told.server.started_ms = 1700000000000;
   ck_assert_int_eq (round_trip (&told), 0);
   ck_assert_uint_eq (frame.server.started_ms, 1700000000000);
+  fq_frame_clear (&told);
 }
 END_TEST
 
@@ -118,6 +121,7 @@
   offer.offer.fingerprint = offers_with_zero_key[_i].fingerprint;
   ck_assert_int_eq (round_trip (&offer), FQ_ERROR_INVALID);
   ck_assert_uint_eq (fq_buffer_size (&output.bytes), 0);
+  fq_frame_clear (&offer);
 }
 END_TEST
 
--- a/tests/node/test_node_settings.c
+++ b/tests/node/test_node_settings.c
@@ -39,10 +39,11 @@
   fq_node_settings_t settings;
 
   ck_assert_int_eq (load (&settings, valid_settings), 0);
-  ck_assert_str_eq (settings.service, "");
+  ck_assert_str_eq (fq_text_chars (settings.service), "");
   ck_assert_uint_eq (settings.drain_ms, 2500);
   ck_assert_double_eq (settings.retry_slack, 48.5);
   ck_assert_uint_eq (settings.seed_count, 0);
+  fq_node_settings_clear (&settings);
 }
 END_TEST
 
@@ -86,6 +87,7 @@
   ck_assert_int_lt (load (&settings, text), 0);
   ck_assert_msg (strstr (fq_error_last ()->message, invalid_changes[_i].path) != NULL,
                  "%s", fq_error_last ()->message);
+  fq_node_settings_clear (&settings);
 }
 END_TEST
 
@@ -96,6 +98,7 @@
   ck_assert_int_eq (fq_node_settings_load (&settings, "/nowhere/at/all"), FQ_ERROR_IO);
   ck_assert_int_lt (load (&settings, "{"), 0);
   ck_assert_int_lt (load (&settings, "[]"), 0);
+  fq_node_settings_clear (&settings);
 }
 END_TEST
 
--- a/tests/node/test_server_calls.c
+++ b/tests/node/test_server_calls.c
@@ -56,7 +56,7 @@
 static void
 on_probed (void *context,
            fq_probe_outcome_t outcome,
-           const char *instance,
+           fq_text_t *instance,
            const fq_server_notice_t *notice)
 {
   (void)context;
@@ -134,11 +134,14 @@
   effect.server_call.message = fq_http_message_new ();
   strcpy (effect.server_call.message->method, "POST");
   effect.server_call.message->target = strdup ("/once/1");
-  strcpy (effect.server_call.request_id, "r1");
-  strcpy (effect.server_call.instance, "i-1");
-  strcpy (effect.server_call.caller, "front");
+  effect.server_call.request_id = fq_text_new ("r1");
+  effect.server_call.instance = fq_text_new ("i-1");
+  effect.server_call.caller = fq_text_new ("front");
   fq_server_calls_start (calls, &effect);
   fq_http_message_unref (effect.server_call.message);
+  fq_text_unref (effect.server_call.request_id);
+  fq_text_unref (effect.server_call.instance);
+  fq_text_unref (effect.server_call.caller);
 }
 
 /* Guards against a finding of the review: the second copy of an answer to a health check,
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -171,16 +171,19 @@
   if (reports[_i].result == 0)
     {
       ck_assert_int_eq (call, reports[_i].call);
-      ck_assert_str_eq (report.instance, "i-1");
+      ck_assert_str_eq (fq_text_chars (report.instance), "i-1");
       ck_assert_uint_eq (report.started_ms, reports[_i].started_ms);
       ck_assert_int_eq (report.draining, reports[_i].draining);
     }
+  fq_server_report_clear (&report);
   fq_http_message_unref (message);
 }
 END_TEST
 
 START_TEST (test_internal_fields_of_requests_are_replaced)
 {
+  fq_text_t *instance = fq_text_new ("i-1");
+  fq_text_t *caller = fq_text_new ("mine");
   fq_http_message_t *message = new_request ("/p/x", "b");
   fq_mesh_request_t request = { 0 };
   fq_http_message_t *sent;
@@ -192,17 +195,20 @@
   fq_http_message_add (message, "X-Target-Instance", "forged");
   fq_http_message_add (message, "X-Own", "kept");
   fq_platform_read_request (message, &request);
-  ck_assert_str_eq (request.request_id, "one.two");
-  ck_assert_str_eq (request.parent_id, "one");
-  ck_assert_str_eq (request.host, "h");
+  ck_assert_str_eq (fq_text_chars (request.request_id), "one.two");
+  ck_assert_str_eq (fq_text_chars (request.parent_id), "one");
+  ck_assert_str_eq (fq_text_chars (request.host), "h");
   ck_assert_uint_eq (request.remaining_ms, 1200);
-  sent = fq_platform_server_request (message, 900, "i-1", "mine");
+  sent = fq_platform_server_request (message, 900, instance, caller);
   ck_assert_str_eq (sent->fields, "Host: h\r\nX-Attempt-Id: one.two\r\nX-Own: kept\r\n"
                                   "X-Timeout-Ms: 900\r\nX-Target-Instance: i-1\r\n"
                                   "X-Caller-Service: mine\r\n");
   ck_assert_ptr_eq (sent->body, message->body);
   fq_http_message_unref (sent);
   fq_http_message_unref (message);
+  fq_mesh_request_clear (&request);
+  fq_text_unref (instance);
+  fq_text_unref (caller);
 }
 END_TEST
 
@@ -237,28 +243,31 @@
 {
   fq_http_message_t *message = new_request ("/p/x", NULL);
   fq_mesh_request_t request = { 0 };
-  char id[FQ_REQUEST_ID_BYTES] = "0123456789abcdef";
+  char id[256] = "0123456789abcdef";
 
   for (int depth = 1; depth < 9; depth++)
     strcat (id, ".0123456789abcdef");
   fq_http_message_add (message, "X-Attempt-Id", id);
   fq_platform_read_request (message, &request);
-  ck_assert_str_eq (request.request_id, id);
-  ck_assert_uint_eq (strlen (request.parent_id), strlen (id) - 17);
+  ck_assert_str_eq (fq_text_chars (request.request_id), id);
+  ck_assert_uint_eq (fq_text_size (request.parent_id), strlen (id) - 17);
   fq_http_message_unref (message);
+  fq_mesh_request_clear (&request);
 }
 END_TEST
 
 START_TEST (test_server_answers_are_classified)
 {
   fq_http_message_t *answer = fq_http_message_new ();
+  fq_text_t *request_id = fq_text_new ("r1");
 
   answer->status = answers[_i].status;
   free (answer->fields);
   answer->fields = strdup (answers[_i].fields);
-  ck_assert_int_eq (fq_platform_match_answer (answer, "r1"), answers[_i].match);
+  ck_assert_int_eq (fq_platform_match_answer (answer, request_id), answers[_i].match);
   ck_assert_int_eq (fq_platform_classify_answer (answer), answers[_i].outcome);
   fq_http_message_unref (answer);
+  fq_text_unref (request_id);
 }
 END_TEST
 
