Read numbers and durations of any size

Cause: durations above UINT32_MAX ms (49 days), and whole numbers above 2^63, made the document invalid, the latter also in fields that nobody reads, as the parser ends there. max_attempts, priority and max_connections were cut to 32 bits, so that attempts were none, and the lowest priority got the rank of the highest. Two weights of 1e308 have no finite sum, and one service got all requests. A timeout below 1 ms became none. A client's limit above UINT32_MAX ms counted as not stated.

Change: what bounds something counts as the largest value that its type holds (fq_platform_json_bound(), fq_platform_json_size(), fq_duration_parse()); numbers that have to be exact, as versions and start times, are still refused when they can't be told exactly. A whole number may be written as 3.0. Optional fields may be null. Values that mean nothing (no weight above 0, no attempts, a negative time, other types) are still refused, as the store does.

--- a/src/mesh/gate_queue.c
+++ b/src/mesh/gate_queue.c
@@ -46,9 +46,8 @@
 uint32_t
 fq_rank_of_new_request (uint32_t priority)
 {
-  uint32_t rank = FQ_INTERNAL_RANKS + priority;
-
-  return rank < FQ_RANKS ? rank : FQ_RANKS - 1;
+  return priority < FQ_RANKS - FQ_INTERNAL_RANKS ? FQ_INTERNAL_RANKS + priority
+                                                 : FQ_RANKS - 1;
 }
 
 uint32_t
--- a/src/util/duration.h
+++ b/src/util/duration.h
@@ -8,10 +8,10 @@
 
 /**
  * fq_duration_parse() - parse a duration in "ms" or "s".
- * @out_ms: milliseconds, fractions cut off; unchanged on failure
+ * @out_ms: milliseconds; unchanged on failure. Fractions are cut off, but a duration
+ * above 0 is 1 at least; a longer one than UINT32_MAX counts as that
  *
- * Return: 0; FQ_ERROR_INVALID for any other text, a negative number, or a duration of
- * more than UINT32_MAX milliseconds.
+ * Return: 0; FQ_ERROR_INVALID for any other text, or a negative number.
  */
 int fq_duration_parse (uint32_t *out_ms, const char *text);
 
--- a/tests/mesh/test_parts.c
+++ b/tests/mesh/test_parts.c
@@ -542,6 +542,15 @@
 }
 END_TEST
 
+/* Guards against a priority so low that its rank was the highest. */
+START_TEST (test_lowest_priority_has_the_last_rank)
+{
+  ck_assert_uint_eq (fq_rank_of_new_request (0), FQ_INTERNAL_RANKS);
+  ck_assert_uint_eq (fq_rank_of_new_request (1000000), FQ_RANKS - 1);
+  ck_assert_uint_eq (fq_rank_of_new_request (UINT32_MAX), FQ_RANKS - 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -550,6 +559,7 @@
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  tcase_add_test (tcase, test_lowest_priority_has_the_last_rank);
   tcase_add_test (tcase, test_timers_fire_in_order);
   tcase_add_test (tcase, test_longest_matching_prefix_selects_the_route);
   tcase_add_test (tcase, test_split_matches_its_weights_in_every_20_requests);
--- a/tests/platform/test_config_bounds.c
+++ b/tests/platform/test_config_bounds.c
@@ -146,6 +146,105 @@
 }
 END_TEST
 
+/* A row: a change, and what is read of the route with that item. */
+static const struct
+{
+  change_t change;
+  uint32_t timeout_ms;
+  uint32_t latency_objective_ms;
+  uint32_t servers_max;
+  uint32_t priority;
+} numbers[] = {
+  { { "\"4s\"", "\"4294968s\"" }, UINT32_MAX, 600, 3, 1 },
+  { { "\"4s\"", "\"1e12s\"" }, UINT32_MAX, 600, 3, 1 },
+  { { "\"4s\"", "\"99999999999999999999ms\"" }, UINT32_MAX, 600, 3, 1 },
+  { { "\"4s\"", "\"2.7182818ms\"" }, 2, 600, 3, 1 },
+  { { "\"4s\"", "\"0.25ms\"" }, 1, 600, 3, 1 },
+  { { "\"600ms\"", "\"31536000s\"" }, 4000, UINT32_MAX, 3, 1 },
+  { { "\"target_latency\":\"600ms\",", "" }, 4000, 0, 3, 1 },
+  { { "\"600ms\"", "null" }, 4000, 0, 3, 1 },
+  { { "\"max_attempts\":3", "\"max_attempts\":4294967296" }, 4000, 600, UINT32_MAX, 1 },
+  { { "\"max_attempts\":3", "\"max_attempts\":1e30" }, 4000, 600, UINT32_MAX, 1 },
+  { { "\"max_attempts\":3", "\"max_attempts\":3.0" }, 4000, 600, 3, 1 },
+  { { "\"priority\":1", "\"priority\":4294967297" }, 4000, 600, 3, UINT32_MAX },
+  { { "\"priority\":1", "\"priority\":99999999999999999999" }, 4000, 600, 3, UINT32_MAX },
+  { { "\"priority\":1,", "" }, 4000, 600, 3, 0 },
+  { { "\"max_connections\":5", "\"max_connections\":99999999999999999999" },
+    4000,
+    600,
+    3,
+    1 },
+  { { "\"max_connections\":5", "\"max_connections\":0" }, 4000, 600, 3, 1 },
+  { { "\"max_body_bytes\":200", "\"max_body_bytes\":18446744073709551615" },
+    4000,
+    600,
+    3,
+    1 },
+  { { "\"max_header_bytes\":100", "\"max_header_bytes\":9223372036854775807" },
+    4000,
+    600,
+    3,
+    1 },
+  { { "\"3000ms\"", "\"86400000s\"" }, 4000, 600, 3, 1 },
+  { { "\"15s\"", "\"5000000s\"" }, 4000, 600, 3, 1 },
+  { { "\"name\":\"odd\"", "\"name\":\"odd\",\"new\":123456789012345678901234567890" },
+    4000,
+    600,
+    3,
+    1 },
+};
+
+/* Guards against review/13: a configuration was refused whole for a number beyond a range
+ * that no page sets, or a number was read as another one. */
+START_TEST (test_numbers_of_any_size_are_read)
+{
+  fq_config_t *config = read_changed (&numbers[_i].change);
+  const fq_route_t *odd = fq_config_find_route (config, "two", "/odd/x");
+
+  ck_assert_ptr_nonnull (odd);
+  ck_assert_uint_eq (odd->timeout_ms, numbers[_i].timeout_ms);
+  ck_assert_uint_eq (odd->latency_objective_ms, numbers[_i].latency_objective_ms);
+  ck_assert_uint_eq (odd->servers_max, numbers[_i].servers_max);
+  ck_assert_uint_eq (odd->priority, numbers[_i].priority);
+  ck_assert_uint_ge (config->limits.body_bytes, 200);
+  ck_assert_uint_ge (config->limits.head_bytes, 100);
+  ck_assert_uint_eq (config->version, 7);
+  fq_config_unref (config);
+}
+END_TEST
+
+#define SPLIT(weights) "\"traffic_split\":[" weights "]"
+
+/* Guards against weights whose sum is no number, so that one service got all requests. */
+START_TEST (test_weights_of_any_size_share_requests)
+{
+  static const change_t splits[]
+      = { { "\"service\":\"a\"", SPLIT ("{\"service\":\"a\",\"weight\":1e308},"
+                                        "{\"service\":\"b\",\"weight\":1e308}") },
+          { "\"service\":\"a\"", SPLIT ("{\"service\":\"a\",\"weight\":1e-300},"
+                                        "{\"service\":\"b\",\"weight\":1e-300}") },
+          { "\"service\":\"a\"",
+            SPLIT ("{\"service\":\"a\",\"weight\":99999999999999999999},"
+                   "{\"service\":\"b\",\"weight\":99999999999999999999}") } };
+
+  for (size_t i = 0; i < sizeof splits / sizeof splits[0]; i++)
+    {
+      fq_config_t *config = read_changed (&splits[i]);
+      fq_route_t *odd = fq_config_find_route (config, "two", "/odd/x");
+      const void *first = fq_route_next_target (odd);
+      const void *second = fq_route_next_target (odd);
+
+      for (int j = 0; j < 20; j++)
+        {
+          ck_assert_ptr_eq (fq_route_next_target (odd), first);
+          ck_assert_ptr_eq (fq_route_next_target (odd), second);
+        }
+      ck_assert_ptr_ne (first, second);
+      fq_config_unref (config);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -158,6 +257,9 @@
   tcase_add_loop_test (tcase, test_names_of_any_length_are_read, 0,
                        sizeof long_names / sizeof long_names[0]);
   tcase_add_test (tcase, test_long_names_are_kept_whole);
+  tcase_add_loop_test (tcase, test_numbers_of_any_size_are_read, 0,
+                       sizeof numbers / sizeof numbers[0]);
+  tcase_add_test (tcase, test_weights_of_any_size_share_requests);
   tcase_add_test (tcase, test_routes_of_a_host_are_found_in_all_places);
   srunner_run_all (runner, CK_NORMAL);
   failures = srunner_ntests_failed (runner);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -128,6 +128,10 @@
 } reports[] = {
   { HEARTBEAT, "{\"born\":99," ADDRESS "," INFO "," STATUS "}", 0, FQ_PLATFORM_REPORT,
     99 },
+  { HEARTBEAT,
+    "{" ADDRESS ",\"info\":{\"service\":\"a\",\"slots\":4294967297},"
+    "\"status\":{\"state\":\"ready\",\"sequence\":4,\"warmup_left\":\"4294968s\"}}",
+    0, FQ_PLATFORM_REPORT, 0 },
   { HEARTBEAT, "{\"more\":[]," ADDRESS "," INFO "," STATUS "}", 0, FQ_PLATFORM_REPORT,
     0 },
   { HEARTBEAT,
@@ -237,6 +241,35 @@
   { 421, "X-Instance-Id: i-2\r\n", FQ_HTTP_MATCH_UNNAMED, FQ_SERVER_INSTANCE_MISMATCH },
 };
 
+/* A row: a time limit that a client states, and what is read. */
+static const struct
+{
+  const char *text;
+  uint32_t ms;
+} timeouts[] = {
+  { "1", 1 },
+  { "4294967296", UINT32_MAX },
+  { "000000000000000000000000000000000000001500", 1500 },
+  { "999999999999999999999999999999999999999999", UINT32_MAX },
+  { "", 0 },
+  { "-5", 0 },
+  { "12x", 0 },
+};
+
+/* Guards against a large time limit that was taken for none. */
+START_TEST (test_time_limit_of_any_size_is_read)
+{
+  fq_http_message_t *message = new_request ("/p/x", NULL);
+  fq_mesh_request_t request = { 0 };
+
+  fq_http_message_add (message, "X-Timeout-Ms", timeouts[_i].text);
+  fq_platform_read_request (message, &request);
+  ck_assert_uint_eq (request.remaining_ms, timeouts[_i].ms);
+  fq_http_message_unref (message);
+  fq_mesh_request_clear (&request);
+}
+END_TEST
+
 /* An id of nine internal calls, each of which appends its own id to that of its parent.
  */
 START_TEST (test_id_of_nested_call_is_not_truncated)
@@ -453,6 +486,8 @@
   tcase_add_loop_test (tcase, test_server_calls_are_parsed_or_rejected, 0,
                        sizeof reports / sizeof reports[0]);
   tcase_add_test (tcase, test_internal_fields_of_requests_are_replaced);
+  tcase_add_loop_test (tcase, test_time_limit_of_any_size_is_read, 0,
+                       sizeof timeouts / sizeof timeouts[0]);
   tcase_add_test (tcase, test_id_of_nested_call_is_not_truncated);
   tcase_add_loop_test (tcase, test_server_answers_are_classified, 0,
                        sizeof answers / sizeof answers[0]);
