Read the directory to its end, whatever its keys are

Callers would have seen refusals (no-gate) of nodes that know none or few of the others: the directory of nodes is read in pages, and no test had more than one.

Cause, found by reading and shown by the test: the key from which the next page is read was made of 62 bytes of the last one, though keys have up to 200, and of the last row that could be read, so that a page that ended on a longer key or an unreadable row was read again and again; a key with a space or '&' went into the query as it was; and a key of more than 63 bytes made its row unreadable. The number of nodes, which spreads reads over time, was that of the last page alone.

Change: keys have the size that the pages set; the next page begins with the last row of this one, since no key certainly sorts right after another and is not too long itself; values of a query are encoded; nodes are counted over all pages. A page that leads no further ends the read, with a line "directory-cut".

The stand-in store returned all rows in the order of their versions and never said has_more: it sorts them, and pages them, now. test_odd_row_does_not_hide_the_others expected a key of 120 bytes to be left out, which the store allows: its row has a key of 201 bytes now, and test_longest_key_is_read wants one of 200.

Test that failed before (node of, the new stand-in): test_directory_of_many_pages, "node 1 is connected to 0 of 3 others".

--- a/src/node/node_directory.c
+++ b/src/node/node_directory.c
@@ -20,6 +20,16 @@
 
 static void continue_directory (fq_store_watch_t *watch);
 
+/* The next page is the first one. */
+static void
+begin_reading (fq_store_watch_t *watch)
+{
+  watch->step = FQ_DIRECTORY_READING;
+  fq_text_clear (&watch->next_key);
+  watch->nodes_read = 0;
+  watch->seen_self = false;
+}
+
 void
 fq_node_directory_recheck (fq_store_watch_t *watch)
 {
@@ -27,9 +37,7 @@
       = FQ_RECHECK_SPREAD_SECONDS + (double)watch->nodes / FQ_STORE_NODES_PER_SECOND;
 
   fq_store_abort_call (&watch->directory_call);
-  watch->step = FQ_DIRECTORY_READING;
-  watch->next_key[0] = '\0';
-  watch->seen_self = false;
+  begin_reading (watch);
   fq_store_restart_timer (watch, &watch->directory_retry,
                           fq_random_unit (&watch->random) * spread);
 }
@@ -40,13 +48,25 @@
   fq_store_restart_timer (watch, &watch->directory_retry, FQ_STORE_RETRY_MAX_SECONDS);
 }
 
-/* Continues after @key: "!" sorts before every character of an address, so that the new
- * start lies between @key and any key that can follow it. */
-static void
-set_next_key (fq_store_watch_t *watch, const char *key)
+/* The next page begins with the last row of this one: there is no key that certainly
+ * sorts right after another and is not too long itself. Return: whether that leads
+ * further. */
+static bool
+set_next_key (fq_store_watch_t *watch, const fq_platform_rows_t *rows)
 {
-  fq_text_copy (watch->next_key, sizeof watch->next_key - 1, key);
-  strcat (watch->next_key, "!");
+  fq_text_t *last = fq_text_new (rows->last_key);
+  bool advances = !fq_text_equal (last, watch->next_key);
+
+  if (advances)
+    fq_text_set (&watch->next_key, last);
+  else
+    {
+      fq_event_log_printf (true, "event=directory-cut after=\"%s\"",
+                           fq_text_label (last));
+      watch->seen_self = true; /* it may be in the rows that were not read */
+    }
+  fq_text_unref (last);
+  return advances;
 }
 
 static void
@@ -59,16 +79,18 @@
     abort ();
   for (size_t i = 0; i < rows->count; i++)
     {
+      const char *key = rows->rows[i].key;
       struct in_addr in;
 
-      if (strcmp (rows->rows[i].key, watch->self) == 0)
+      if (strcmp (key, watch->self) == 0)
         watch->seen_self = true;
-      if (inet_pton (AF_INET, rows->rows[i].key, &in) == 1)
-        addresses[count++] = ntohl (in.s_addr);
+      if (inet_pton (AF_INET, key, &in) != 1)
+        continue;
+      addresses[count++] = ntohl (in.s_addr);
+      watch->nodes_read += strcmp (key, fq_text_chars (watch->next_key)) != 0;
     }
   fq_event_log_printf (false, "event=directory-read nodes=%zu store_version=%llu", count,
                        (unsigned long long)rows->version);
-  watch->nodes = rows->count;
   watch->handlers->nodes (watch->context, addresses, count);
   free (addresses);
 }
@@ -78,9 +100,11 @@
 static void
 finish_directory_read (fq_store_watch_t *watch)
 {
-  watch->step = watch->seen_self ? FQ_DIRECTORY_IDLE : FQ_DIRECTORY_REGISTERING;
-  watch->next_key[0] = '\0';
-  watch->seen_self = false;
+  bool registered = watch->seen_self;
+
+  watch->nodes = watch->nodes_read;
+  begin_reading (watch);
+  watch->step = registered ? FQ_DIRECTORY_IDLE : FQ_DIRECTORY_REGISTERING;
 }
 
 static void
@@ -113,9 +137,7 @@
       return;
     }
   report_nodes (watch, &rows);
-  if (rows.more_available && rows.count > 0)
-    set_next_key (watch, rows.rows[rows.count - 1].key);
-  else
+  if (!rows.more_available || !set_next_key (watch, &rows))
     finish_directory_read (watch);
   fq_platform_rows_clear (&rows);
   if (watch->step != FQ_DIRECTORY_IDLE)
@@ -148,7 +170,7 @@
                                            watch->self, "{}");
   else
     request = fq_platform_rows_request (FQ_PLATFORM_TABLE_NODES, watch->store,
-                                        watch->next_key);
+                                        fq_text_chars (watch->next_key));
   if (fq_http_client_call (&watch->directory_call, watch->client, request, &options,
                            &directory_handlers, watch)
       < 0)
@@ -219,3 +241,10 @@
   ev_timer_init (&watch->directory_retry, on_directory_retry, 0., 0.);
   watch->directory_retry.data = watch;
 }
+
+void
+fq_node_directory_close (fq_store_watch_t *watch)
+{
+  ev_timer_stop (watch->io->loop, &watch->directory_retry);
+  fq_text_clear (&watch->next_key);
+}
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -116,7 +116,7 @@
   if (watch == NULL)
     return;
   fq_config_reads_stop_timers (watch);
-  ev_timer_stop (watch->io->loop, &watch->directory_retry);
+  fq_node_directory_close (watch);
   fq_http_client_free (watch->client);
   free (watch);
 }
--- a/src/node/store_watch_private.h
+++ b/src/node/store_watch_private.h
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "node/store_watch.h"
 #include "util/random.h"
+#include "util/text.h"
 
 #define FQ_CONFIG_READS_MAX 2 /* the one that is due, and one overdue */
 #define FQ_STORE_RETRY_FIRST_SECONDS 0.1
@@ -55,13 +56,14 @@
   uint32_t feed_wait_ms;
   uint64_t era; /* of the store, to which the version belongs */
   bool era_known;
-  size_t nodes; /* rows in the directory when it was read last */
+  size_t nodes;      /* in the directory when it was read last */
+  size_t nodes_read; /* in the pages read so far */
   fq_random_t random;
   bool registered; /* the row of this node was written */
   bool store_lost; /* the last configuration call failed */
   fq_directory_step_t step;
-  char next_key[FQ_NAME_BYTES]; /* key from which the next page is read; empty: all */
-  bool seen_self;               /* the row of this node is in the pages read so far */
+  fq_text_t *next_key; /* key from which the next page is read; empty: all */
+  bool seen_self;      /* the row of this node is in the pages read so far */
 };
 
 /** fq_store_restart_timer() - start @timer anew; it expires once. */
@@ -86,6 +88,9 @@
 /* node_directory.c */
 void fq_node_directory_init (fq_store_watch_t *watch);
 
+/** fq_node_directory_close() - stop the timer and free what the directory holds. */
+void fq_node_directory_close (fq_store_watch_t *watch);
+
 /** fq_node_directory_recheck() - read the directory again at a random time: the row of
  * this node, or of others, may be lost. A lost row of this node is written again. */
 void fq_node_directory_recheck (fq_store_watch_t *watch);
--- a/standins/store.c
+++ b/standins/store.c
@@ -2,8 +2,9 @@
  * DOC: Test double of the users' store with its published HTTP calls: tables of rows in
  * memory, conditional transactions, and a change feed read by long polling.
  *
- * usage: fq-standin-store IP:PORT. SIGUSR1 makes it answer every call with 503; a further
- * SIGUSR1 ends that.
+ * usage: fq-standin-store IP:PORT [ROWS]. An answer to a read of rows has at most ROWS of
+ * them, 500 by default. SIGUSR1 makes it answer every call with 503; a further SIGUSR1
+ * ends that.
  *
  * POST /standin/copy copies all rows. POST /standin/restore ends all connections with a
  * call, is away for AWAY_SECONDS, and comes back with that copy: versions go back and are
@@ -24,8 +25,9 @@
 #include "util/text.h"
 
 #define NAME_BYTES 201
-#define TARGET_BYTES 1024
+#define QUERY_VALUE_BYTES 1024
 #define LONG_POLLS_MAX 256
+#define ROWS_MAX 500 /* in an answer to a read of rows */
 #define AWAY_SECONDS 0.5
 #define REWRITE_SECONDS 0.2 /* after the return, until operators have written again */
 #define OPERATORS_TABLE "op"
@@ -61,6 +63,7 @@
 static fq_list_t rows;
 static uint64_t version; /* of the last applied transaction */
 static long_poll_t long_polls[LONG_POLLS_MAX];
+static size_t rows_max = ROWS_MAX;
 static bool unavailable; /* calls are answered 503 */
 static bool away;        /* calls are not answered */
 static uint64_t era = 1; /* rises with each restore */
@@ -256,6 +259,26 @@
   answer_long_polls ();
 }
 
+/* Decodes a query value in place. */
+static void
+decode_query_value (char *value)
+{
+  char *to = value;
+  unsigned int byte;
+
+  for (const char *at = value; *at != '\0'; to++)
+    {
+      if (*at == '%' && sscanf (at + 1, "%2x", &byte) == 1)
+        {
+          *to = (char)byte;
+          at += 3;
+        }
+      else
+        *to = *at++;
+    }
+  *to = '\0';
+}
+
 /* Copies the query parameter @name of @target, or an empty text if it is absent. */
 static void
 query_value (const char *target, const char *name, char *out, size_t size)
@@ -271,30 +294,55 @@
         {
           snprintf (out, size, "%.*s", (int)strcspn (at + length + 1, "&"),
                     at + length + 1);
+          decode_query_value (out);
           return;
         }
       at = strchr (at, '&');
     }
 }
 
+/* The row of @table with the lowest key above @key, or at least @key if @inclusive. */
+static const row_t *
+next_row (const char *table, const char *key, bool inclusive)
+{
+  const row_t *next = NULL;
+
+  FQ_LIST_FOREACH (link, &rows)
+  {
+    const row_t *row = FQ_LIST_ENTRY (link, row_t, link);
+    int order = strcmp (row->key, key);
+
+    if (strcmp (row->table, table) == 0 && row->value != NULL
+        && (order > 0 || (inclusive && order == 0))
+        && (next == NULL || strcmp (row->key, next->key) < 0))
+      next = row;
+  }
+  return next;
+}
+
 static void
 handle_rows_get (fq_id_t id, const char *target)
 {
   char table[NAME_BYTES];
-  char from[NAME_BYTES];
+  char from[QUERY_VALUE_BYTES];
   json_t *list = json_array ();
+  const row_t *row;
 
   query_value (target, "table", table, sizeof table);
   query_value (target, "from", from, sizeof from);
-  FQ_LIST_FOREACH (link, &rows)
-  {
-    const row_t *row = FQ_LIST_ENTRY (link, row_t, link);
-
-    if (strcmp (row->table, table) == 0 && row->value != NULL
-        && strcmp (row->key, from) >= 0)
+  if (strlen (from) >= NAME_BYTES)
+    {
+      json_decref (list);
+      answer (id, STATUS_BAD_REQUEST, NULL);
+      return;
+    }
+  row = next_row (table, from, true);
+  while (row != NULL && json_array_size (list) < rows_max)
+    {
       json_array_append_new (list, row_to_json (row));
-  }
-  answer (id, STATUS_OK, json_pack ("{s:o,s:b}", "rows", list, "has_more", 0));
+      row = next_row (table, row->key, false);
+    }
+  answer (id, STATUS_OK, json_pack ("{s:o,s:b}", "rows", list, "has_more", row != NULL));
 }
 
 static void
@@ -512,10 +560,13 @@
   ev_timer_init (&return_timer, on_return, 0., 0.);
   ev_timer_init (&rewrite_timer, on_rewrite, 0., 0.);
   options.idle_timeout_ms = 60000;
-  if (argc != 2 || fq_address_parse (&address, argv[1]) < 0 || fq_io_open (&io, loop) < 0
+  if (argc == 3)
+    rows_max = strtoul (argv[2], NULL, 10);
+  if (argc < 2 || argc > 3 || rows_max < 2 || fq_address_parse (&address, argv[1]) < 0
+      || fq_io_open (&io, loop) < 0
       || fq_http_server_open (&server, &io, &address, &options, &handlers, NULL) < 0)
     {
-      fprintf (stderr, "usage: fq-standin-store IP:PORT (%s)\n",
+      fprintf (stderr, "usage: fq-standin-store IP:PORT [ROWS] (%s)\n",
                fq_error_last ()->message);
       return EXIT_FAILURE;
     }
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -387,8 +387,9 @@
 END_TEST
 
 #define TWENTY_DIGITS "01234567890123456789"
-#define LONG_KEY                                                                         \
-  TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS
+#define HUNDRED_DIGITS                                                                   \
+  TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS
+#define LONGEST_KEY HUNDRED_DIGITS HUNDRED_DIGITS /* that the store takes */
 
 /* Guards against one odd row of another writer that keeps nodes from reading the others.
  */
@@ -404,9 +405,35 @@
   "{\"key\":\"a\",\"value\":\"YWI=\",\"ver\":1.5}",
   "{\"key\":\"a\",\"value\":\"=\",\"ver\":1}",
   "{\"key\":\"a\",\"value\":[[[]]],\"ver\":1}",
-  "{\"key\":\"" LONG_KEY "\",\"value\":\"YWI=\",\"ver\":1}",
+  "{\"key\":\"" LONGEST_KEY "0\",\"value\":\"YWI=\",\"ver\":1}",
 };
 
+/* Guards against a row that is left out for the length of its key, which the store takes,
+ * and against pages that can't be continued after a row that is left out. */
+START_TEST (test_longest_key_is_read)
+{
+  static const char body[] = "{\"rows\":[{\"key\":\"" LONGEST_KEY "\",\"value\":\"YWI=\","
+                             "\"ver\":1},{\"key\":\"last\",\"value\":\"=\",\"ver\":1}],"
+                             "\"has_more\":true,\"ver\":9}";
+  fq_http_message_t *answer = fq_http_message_new ();
+  fq_http_message_t *request;
+  fq_platform_rows_t rows;
+
+  answer->status = 200;
+  ck_assert_int_eq (fq_blob_new (&answer->body, body, strlen (body)), 0);
+  ck_assert_int_eq (fq_platform_parse_rows (&rows, answer), 0);
+  ck_assert_uint_eq (rows.count, 1);
+  ck_assert_str_eq (rows.rows[0].key, LONGEST_KEY);
+  ck_assert (rows.more_available);
+  ck_assert_str_eq (rows.last_key, "last");
+  fq_platform_rows_clear (&rows);
+  fq_http_message_unref (answer);
+  request = fq_platform_rows_request (FQ_PLATFORM_TABLE_NODES, "s", "a &%\xc3\xa9");
+  ck_assert_ptr_nonnull (strstr (request->target, "&from=a%20%26%25%C3%A9&"));
+  fq_http_message_unref (request);
+}
+END_TEST
+
 START_TEST (test_odd_row_does_not_hide_the_others)
 {
   static const char good[] = "{\"key\":\"10.0.0.%d\",\"value\":\"YWI=\",\"ver\":3}";
@@ -495,6 +522,7 @@
                        sizeof notices / sizeof notices[0]);
   tcase_add_test (tcase, test_local_answer_has_retry_after);
   tcase_add_test (tcase, test_valid_rows_are_parsed);
+  tcase_add_test (tcase, test_longest_key_is_read);
   tcase_add_loop_test (tcase, test_odd_row_does_not_hide_the_others, 0,
                        sizeof odd_rows / sizeof odd_rows[0]);
   tcase_add_loop_test (tcase, test_malformed_rows_are_an_error_and_not_an_empty_list, 0,
