--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -4,14 +4,13 @@
 
 #include "settings/reader.h"
 
-#define FQ_DURATION_MS_MAX 600000
-#define FQ_MEMORY_MB_MIN 16
-#define FQ_MEMORY_MB_MAX 1048576
+#define FQ_MEMORY_MB_MIN 1
 #define FQ_DESCRIPTORS_MIN 64
-#define FQ_DESCRIPTORS_MAX 1048576
-#define FQ_RETRY_SLACK_MAX 1000000
 #define FQ_PORT_MAX 65535
 
+/* What the platform sets no bound for. */
+#define UNBOUNDED .max = UINT32_MAX, .unbounded = true
+
 #define FIELD(field)                                                                     \
   .offset = offsetof (fq_node_settings_t, field),                                        \
   .size = sizeof (((fq_node_settings_t *)NULL)->field)
@@ -31,28 +30,25 @@
   { "service", FQ_FIELD_TEXT, FIELD (service) },
   { "address", FQ_FIELD_ADDRESS, .required = true, FIELD (server_address) },
   { "report_interval", FQ_FIELD_DURATION, .required = true, FIELD (report_interval_ms),
-    .min = 1, .max = FQ_DURATION_MS_MAX },
-  { "drain", FQ_FIELD_DURATION, .required = true, FIELD (drain_ms),
-    .max = FQ_DURATION_MS_MAX },
+    .min = 1, UNBOUNDED },
+  { "drain", FQ_FIELD_DURATION, .required = true, FIELD (drain_ms), UNBOUNDED },
   { NULL },
 };
 
 static const fq_field_t retry_fields[] = {
-  { "ratio", FQ_FIELD_DECIMAL, .required = true, FIELD (retry_ratio), .max = 1 },
-  { "window", FQ_FIELD_DURATION, .required = true, FIELD (retry_window_ms), .min = 100,
-    .max = FQ_DURATION_MS_MAX },
-  { "slack", FQ_FIELD_DECIMAL, .required = true, FIELD (retry_slack),
-    .max = FQ_RETRY_SLACK_MAX },
+  { "ratio", FQ_FIELD_DECIMAL, .required = true, FIELD (retry_ratio), UNBOUNDED },
+  { "window", FQ_FIELD_DURATION, .required = true, FIELD (retry_window_ms), .min = 1,
+    UNBOUNDED },
+  { "slack", FQ_FIELD_DECIMAL, .required = true, FIELD (retry_slack), UNBOUNDED },
   { NULL },
 };
 
 static const fq_field_t limit_fields[] = {
   { "memory_mb", FQ_FIELD_DECIMAL, .required = true, FIELD (memory_mb),
-    .min = FQ_MEMORY_MB_MIN, .max = FQ_MEMORY_MB_MAX },
+    .min = FQ_MEMORY_MB_MIN, UNBOUNDED },
   { "descriptors", FQ_FIELD_NUMBER, .required = true, FIELD (descriptors),
-    .min = FQ_DESCRIPTORS_MIN, .max = FQ_DESCRIPTORS_MAX },
-  { "grace", FQ_FIELD_DURATION, .required = true, FIELD (grace_ms), .min = 1,
-    .max = FQ_DURATION_MS_MAX },
+    .min = FQ_DESCRIPTORS_MIN, UNBOUNDED },
+  { "grace", FQ_FIELD_DURATION, .required = true, FIELD (grace_ms), UNBOUNDED },
   { NULL },
 };
 
@@ -84,6 +80,9 @@
   json_error_t parse_error;
   json_t *root = json_load_file (path, JSON_REJECT_DUPLICATES, &parse_error);
 
+  if (root == NULL && json_error_code (&parse_error) == json_error_numeric_overflow)
+    root = json_load_file (path, JSON_REJECT_DUPLICATES | JSON_DECODE_INT_AS_REAL,
+                           &parse_error);
   *out = (fq_node_settings_t){ 0 };
   if (root == NULL)
     return fq_error_set (FQ_ERROR_CLASS_SETTINGS,
--- a/src/settings/reader.c
+++ b/src/settings/reader.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <ctype.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -164,18 +165,28 @@
   *to = fq_text_new (text);
 }
 
+/* Where one number is too large for an integer, all come as real ones. */
+static bool
+exceeds_unbounded (const fq_field_t *field, const json_t *value)
+{
+  return field->unbounded && json_is_number (value)
+         && json_number_value (value) > field->max;
+}
+
 static bool
 is_integer_in_range (const json_t *value, json_int_t min, json_int_t max)
 {
-  return json_is_integer (value) && json_integer_value (value) >= min
-         && json_integer_value (value) <= max;
+  double number = json_number_value (value);
+
+  return json_is_number (value) && number == floor (number) && number >= (double)min
+         && number <= (double)max;
 }
 
 static void
 read_port (fq_reader_t *reader, int *to, const fq_field_t *field, const json_t *value)
 {
   if (is_integer_in_range (value, 1, FQ_PORT_MAX))
-    *to = (int)json_integer_value (value);
+    *to = (int)json_number_value (value);
   else
     add_value_error (reader, field, value, "a port from 1 to 65535");
 }
@@ -188,9 +199,14 @@
 {
   char allowed[FQ_READER_ALLOWED_BYTES];
 
+  if (exceeds_unbounded (field, value))
+    {
+      *to = field->max;
+      return;
+    }
   if (is_integer_in_range (value, field->min, field->max))
     {
-      *to = (uint32_t)json_integer_value (value);
+      *to = (uint32_t)json_number_value (value);
       return;
     }
   snprintf (allowed, sizeof allowed, "a whole number from %u to %u", field->min,
@@ -209,9 +225,9 @@
   uint32_t ms;
 
   if (text != NULL && fq_duration_parse (&ms, text) == FQ_OK && ms >= field->min
-      && ms <= field->max)
+      && (ms <= field->max || field->unbounded))
     {
-      *to = ms;
+      *to = ms < field->max ? ms : field->max;
       return;
     }
   snprintf (allowed, sizeof allowed, "a duration from \"%ums\" to \"%ums\"", field->min,
@@ -228,6 +244,11 @@
   double number = json_number_value (value);
   char allowed[FQ_READER_ALLOWED_BYTES];
 
+  if (exceeds_unbounded (field, value))
+    {
+      *to = field->max;
+      return;
+    }
   if (json_is_number (value) && number >= field->min && number <= field->max)
     {
       *to = number;
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -44,6 +44,7 @@
   size_t size;   /* of the value, or of an element of a list, in bytes */
   uint32_t min;  /* of a number or duration, or of the length of a list */
   uint32_t max;
+  bool unbounded;                /* a larger number or duration than @max counts as it */
   const char *const *choices;    /* of FQ_FIELD_CHOICE; ends with NULL */
   const struct fq_field *fields; /* of FQ_FIELD_OBJECT and FQ_FIELD_OBJECTS */
   size_t count_offset; /* of a list: from the base to the size_t that gets its length */
