Read fields of answers whose values are long

Callers would have seen 502 for a request that was served, and for one that the server had refused: a 2xx with a signature of 512 bytes or more counted as unsigned, and a refusal whose X-Not-Executed had such a value as executed. An answer whose X-Attempt-Id had 256 bytes or more counted as without one, so that the answer to another request with such an id was accepted (MIXED). A Keep-Alive field of 128 bytes or more was not seen, and a timeout above 4,294,967 s was read as a short one.

Cause: values were copied into buffers of fixed size to see whether the field is there; where one did not fit, it was taken for absent.

Tests, on: test_server_answers_are_classified, 3 new cases failed; test_keep_alive_of_any_size_is_read, 3 of 6.

--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -34,6 +34,7 @@
 #define FQ_BODY_DOUBLING_MAX_BYTES (1 << 20)
 #define FQ_HEAD_END "\r\n\r\n"
 #define FQ_HEAD_END_BYTES 4
+#define FQ_KEEP_ALIVE_MAX_SECONDS 4000000u /* its milliseconds fit into 32 bits */
 #define FQ_TOKEN_PUNCTUATION "!#$%&'*+-.^_`|~"
 
 /* Fields that apply to one connection only, or that the next hop sets anew when it frames
@@ -94,16 +95,19 @@
 static void
 read_keep_alive (fq_http_reader_t *reader, const char *value, size_t size)
 {
-  char text[FQ_HEADER_BYTES] = "";
+  char *text = strndup (value, size);
   const char *timeout;
+  unsigned long seconds = 0;
 
-  if (size >= sizeof text)
-    return;
-  memcpy (text, value, size);
+  if (text == NULL)
+    abort ();
   timeout = strcasestr (text, "timeout=");
   if (timeout != NULL)
-    reader->keep_alive_seconds
-        = (uint32_t)strtoul (timeout + strlen ("timeout="), NULL, 10);
+    seconds = strtoul (timeout + strlen ("timeout="), NULL, 10);
+  reader->keep_alive_seconds = seconds < FQ_KEEP_ALIVE_MAX_SECONDS
+                                   ? (uint32_t)seconds
+                                   : FQ_KEEP_ALIVE_MAX_SECONDS;
+  free (text);
 }
 
 static void
--- a/tests/http/test_reader.c
+++ b/tests/http/test_reader.c
@@ -336,6 +336,41 @@
 }
 END_TEST
 
+/* Values of Keep-Alive, and the seconds that are read. */
+static const struct
+{
+  const char *value;
+  uint32_t seconds;
+} keep_alives[] = {
+  { "timeout=5", 5 },
+  { "max=100, timeout=7", 7 },
+  { "note=0123456789012345678901234567890123456789012345678901234567890123456789012345678"
+    "9012345678901234567890123456789012345678901234567890123456789, timeout=8",
+    8 },
+  { "timeout=4294969", 4000000 },
+  { "timeout=99999999999999999999999", 4000000 },
+  { "max=100", 0 },
+};
+
+/* Guards against a time limit of the server that is not seen, or read as a short one. */
+START_TEST (test_keep_alive_of_any_size_is_read)
+{
+  fq_http_reader_t reader;
+  char text[512];
+  size_t used;
+
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nKeep-Alive: %s\r\nContent-Length: 0\r\n\r\n",
+            keep_alives[_i].value);
+  fq_http_reader_init (&reader, FQ_HTTP_ANSWERS, &limits);
+  ck_assert_int_eq (
+      fq_http_reader_feed (&reader, (const uint8_t *)text, strlen (text), &used),
+      FQ_HTTP_COMPLETE);
+  ck_assert_uint_eq (reader.keep_alive_seconds, keep_alives[_i].seconds);
+  fq_http_reader_clear (&reader);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -344,6 +379,8 @@
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  tcase_add_loop_test (tcase, test_keep_alive_of_any_size_is_read, 0,
+                       sizeof keep_alives / sizeof keep_alives[0]);
   tcase_add_loop_test (tcase, test_requests_are_accepted_or_rejected, 0,
                        sizeof requests / sizeof requests[0]);
   tcase_add_test (tcase, test_all_connection_fields_are_read);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -216,6 +216,13 @@
 }
 END_TEST
 
+#define TWENTY_DIGITS "01234567890123456789"
+#define HUNDRED_DIGITS                                                                   \
+  TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS
+#define SIX_HUNDRED_DIGITS                                                               \
+  HUNDRED_DIGITS HUNDRED_DIGITS HUNDRED_DIGITS HUNDRED_DIGITS HUNDRED_DIGITS             \
+      HUNDRED_DIGITS
+
 /* Answers to request "r1", for test_server_answers_are_classified. */
 static const struct
 {
@@ -239,6 +246,12 @@
     FQ_SERVER_NOT_EXECUTED },
   { 503, "X-Attempt-Id: r1\r\n", FQ_HTTP_MATCH_CALL, FQ_SERVER_ANSWERED },
   { 421, "X-Instance-Id: i-2\r\n", FQ_HTTP_MATCH_UNNAMED, FQ_SERVER_INSTANCE_MISMATCH },
+  { 200, "X-Attempt-Id: r1\r\nX-Response-Signature: " SIX_HUNDRED_DIGITS "\r\n",
+    FQ_HTTP_MATCH_CALL, FQ_SERVER_ANSWERED },
+  { 503, "X-Attempt-Id: r1\r\nX-Not-Executed: " SIX_HUNDRED_DIGITS "\r\n",
+    FQ_HTTP_MATCH_CALL, FQ_SERVER_NOT_EXECUTED },
+  { 200, "X-Attempt-Id: " SIX_HUNDRED_DIGITS "\r\nX-Response-Signature: s\r\n",
+    FQ_HTTP_MATCH_OTHER, FQ_SERVER_ANSWERED },
 };
 
 /* A row: a time limit that a client states, and what is read. */
@@ -386,9 +399,6 @@
 }
 END_TEST
 
-#define TWENTY_DIGITS "01234567890123456789"
-#define HUNDRED_DIGITS                                                                   \
-  TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS TWENTY_DIGITS
 #define LONGEST_KEY HUNDRED_DIGITS HUNDRED_DIGITS /* that the store takes */
 
 /* Guards against one odd row of another writer that keeps nodes from reading the others.
