Offer requests of routes whose timeout is short

Callers saw 503 for every request of a route whose timeout is below 50 ms: a document in force, and a route that is never served.

Cause: an attempt with less than 50 ms left was never begun, also the first one of a request whose route allows less than that altogether.

Change: the time that has to be left is at most half of the route's timeout.

--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -22,8 +22,8 @@
 #define FQ_TIMEOUT_DEFAULT_MS 30000 /* where neither client nor route states one */
 #define FQ_OFFERS_MAX 4             /* attempts for one request */
 #define FQ_INLINE_BODY_BYTES 16384  /* a larger body is sent only after a grant */
-/* With less time left, another attempt would be futile. */
-#define FQ_RETRY_MIN_LEFT_US (50 * FQ_MICROSECONDS_PER_MS)
+/* With less time left, an attempt would be futile, unless the route has little at all. */
+#define FQ_ATTEMPT_MIN_LEFT_US (50 * FQ_MICROSECONDS_PER_MS)
 /* A request that arrives later than this after the stop signal could not complete before
  * the process ends. */
 #define FQ_STOPPING_ACCEPT_US (3 * FQ_MICROSECONDS_PER_SECOND)
@@ -133,7 +133,7 @@
 {
   fq_peer_t *peer;
 
-  if (exchange->deadline - mesh->now < FQ_RETRY_MIN_LEFT_US)
+  if (exchange->deadline - mesh->now < exchange->least_time_left)
     {
       fq_exchange_finish_unanswered (mesh, exchange,
                                      exchange->offers == 0 ? "no-time" : cause_if_none);
@@ -178,6 +178,15 @@
   return hash | 1;
 }
 
+/* The time that has to be left for an attempt: at most half of what the route allows. */
+static fq_time_t
+least_time_left (const fq_route_t *route)
+{
+  fq_time_t half = ms_to_us (route->timeout_ms) / 2;
+
+  return half > 0 && half < FQ_ATTEMPT_MIN_LEFT_US ? half : FQ_ATTEMPT_MIN_LEFT_US;
+}
+
 static fq_exchange_t *
 new_exchange (fq_mesh_t *mesh, const fq_mesh_request_t *request, fq_route_t *route)
 {
@@ -200,6 +209,7 @@
   exchange->chain = hash_text (request->request_id, 0) | 1;
   exchange->servers_max = route->servers_max;
   exchange->latency_objective_ms = route->latency_objective_ms;
+  exchange->least_time_left = least_time_left (route);
   exchange->idempotent = route->idempotent;
   exchange->received = mesh->now;
   exchange->deadline = mesh->now + ms_to_us (allowed_ms);
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -120,6 +120,7 @@
   fq_time_t received;
   fq_time_t deadline;        /* when the answer is due */
   fq_time_t client_deadline; /* when the client stops waiting */
+  fq_time_t least_time_left; /* for another attempt */
   fq_timer_entry_t timer;
   fq_list_t link;    /* in the exchanges of @peer */
   fq_peer_t *peer;   /* gate of the pending attempt; NULL: none is pending */
--- a/tests/mesh/test_mesh.c
+++ b/tests/mesh/test_mesh.c
@@ -517,6 +517,26 @@
 }
 END_TEST
 
+/* Guards against a route of which every request is refused for lack of time, because the
+ * operators allow less than some least time. */
+START_TEST (test_route_with_a_short_timeout_is_served)
+{
+  static const uint32_t timeouts_ms[] = { 1, 20, 49, 60 };
+  fq_mesh_event_t config = { .kind = FQ_MESH_EVENT_CONFIG };
+  fq_id_t request;
+
+  config.config.received = fleet_config (2, timeouts_ms[_i]);
+  fleet_feed (&fleet, 0, &config);
+  request = fleet_send_request (&fleet, 0, "/safe/1", "short", "");
+  for (int i = 0; i < 10 && fleet_find_active_run (&fleet, "short") == NULL; i++)
+    fleet_advance (&fleet, 1);
+  ck_assert_ptr_nonnull (fleet_find_active_run (&fleet, "short"));
+  fleet_advance (&fleet, 100);
+  ck_assert_uint_eq (fleet_find_reply (&fleet, request)->status, 504);
+  fq_config_unref (config.config.received);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -527,6 +547,7 @@
 
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, test_route_with_a_short_timeout_is_served, 0, 4);
   tcase_add_test (tcase, test_request_is_answered_by_another_node);
   tcase_add_test (tcase, test_missing_route_is_404_only_with_a_configuration);
   tcase_add_test (tcase, test_older_configuration_is_ignored);
