Tell large priorities apart

Change: where some priority of the configuration does not fit the 8 ranks, a route's rank follows from the number of different priorities above its own. Configurations whose priorities fit keep theirs, so that the waits and limits by rank are the same as before.

Test, with the old rule in place: test_priorities_of_any_size_are_told_apart, 2 of 5 cases failed; 5 pass.

--- a/src/mesh/config.c
+++ b/src/mesh/config.c
@@ -72,9 +72,84 @@
   return left_size > right_size ? -1 : 1;
 }
 
+static size_t
+count_routes (const fq_config_t *config)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < config->host_count; i++)
+    count += config->hosts[i].route_count;
+  return count;
+}
+
+static int
+compare_priorities (const void *left, const void *right)
+{
+  uint32_t a = *(const uint32_t *)left;
+  uint32_t b = *(const uint32_t *)right;
+
+  return (a > b) - (a < b);
+}
+
+/* Writes the different priorities of all routes to @out, highest first. Return: their
+ * number. */
+static size_t
+collect_priorities (const fq_config_t *config, uint32_t *out)
+{
+  size_t count = 0;
+  size_t unique = 0;
+
+  for (size_t i = 0; i < config->host_count; i++)
+    {
+      for (size_t j = 0; j < config->hosts[i].route_count; j++)
+        out[count++] = config->hosts[i].routes[j].priority;
+    }
+  qsort (out, count, sizeof *out, compare_priorities);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (i == 0 || out[i] != out[unique - 1])
+        out[unique++] = out[i];
+    }
+  return unique;
+}
+
+static uint32_t
+find_level (const uint32_t *priorities, size_t count, uint32_t priority)
+{
+  size_t level = 0;
+
+  if (count == 0 || priorities[count - 1] < FQ_PRIORITY_LEVELS)
+    return priority;
+  while (priorities[level] != priority)
+    level++;
+  return level < FQ_PRIORITY_LEVELS ? (uint32_t)level : FQ_PRIORITY_LEVELS - 1;
+}
+
+static void
+assign_levels (fq_config_t *config)
+{
+  uint32_t *priorities = calloc (count_routes (config) + 1, sizeof *priorities);
+  size_t count;
+
+  if (priorities == NULL)
+    abort ();
+  count = collect_priorities (config, priorities);
+  for (size_t i = 0; i < config->host_count; i++)
+    {
+      for (size_t j = 0; j < config->hosts[i].route_count; j++)
+        {
+          fq_route_t *route = &config->hosts[i].routes[j];
+
+          route->level = find_level (priorities, count, route->priority);
+        }
+    }
+  free (priorities);
+}
+
 void
 fq_config_finalize (fq_config_t *config)
 {
+  assign_levels (config);
   for (size_t i = 0; i < config->host_count; i++)
     {
       fq_virtual_host_t *host = &config->hosts[i];
--- a/src/mesh/config.h
+++ b/src/mesh/config.h
@@ -11,6 +11,9 @@
 #include "filbertquay/types.h"
 #include "util/text.h"
 
+/** FQ_PRIORITY_LEVELS - priorities that are told apart. */
+#define FQ_PRIORITY_LEVELS 8
+
 /** struct fq_route_target_t - a service that a route sends requests to. */
 typedef struct
 {
@@ -30,6 +33,7 @@
   uint32_t latency_objective_ms; /* answer time that operators aim for; 0: none */
   uint32_t servers_max;          /* servers that one request is sent to at most */
   uint32_t priority;             /* 0 is the highest */
+  uint32_t level; /* its priority, below FQ_PRIORITY_LEVELS; see fq_config_finalize() */
   fq_route_target_t *targets;
   size_t target_count;
 } fq_route_t;
@@ -82,7 +86,14 @@
 /** fq_config_unref() - drop a reference; the last one frees @config; NULL-safe. */
 void fq_config_unref (fq_config_t *config);
 
-/** fq_config_finalize() - sort the routes and assign their ids, once all are added. */
+/**
+ * fq_config_finalize() - sort the routes, and assign their ids and levels, once all are
+ * added.
+ *
+ * The level of a route is its priority. Where some priority is not below
+ * FQ_PRIORITY_LEVELS, it is the number of different priorities above it, and the lowest
+ * ones share the last level.
+ */
 void fq_config_finalize (fq_config_t *config);
 
 /** fq_config_find_service() - the service named @name, owned by @config; NULL if unknown.
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -205,7 +205,7 @@
   exchange->config_version = mesh->config->version;
   exchange->route_id = route->id;
   exchange->fingerprint = request_fingerprint (mesh, request);
-  exchange->rank = fq_rank_of_new_request (route->priority);
+  exchange->rank = fq_rank_of_new_request (route->level);
   exchange->chain = hash_text (request->request_id, 0) | 1;
   exchange->servers_max = route->servers_max;
   exchange->latency_objective_ms = route->latency_objective_ms;
--- a/src/mesh/gate_queue.h
+++ b/src/mesh/gate_queue.h
@@ -19,6 +19,7 @@
 
 #include "filbertquay/types.h"
 #include "mesh/backpressure.h"
+#include "mesh/config.h"
 #include "mesh/rate_limit.h"
 #include "util/list.h"
 #include "util/map.h"
@@ -26,7 +27,7 @@
 /* Ranks below it are those of internal calls, by the priority of the request that began
  * the chain; the others are those of new requests, by their own priority. */
 #define FQ_INTERNAL_RANKS 4
-#define FQ_RANKS 12 /* all ranks */
+#define FQ_RANKS (FQ_INTERNAL_RANKS + FQ_PRIORITY_LEVELS) /* all ranks */
 
 /** fq_rank_of_new_request() - the rank of a new request; priority 0 is the highest. */
 uint32_t fq_rank_of_new_request (uint32_t priority);
--- a/tests/platform/test_config_bounds.c
+++ b/tests/platform/test_config_bounds.c
@@ -3,6 +3,7 @@
  * put in force whole, with the other routes in it.
  */
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -245,6 +246,44 @@
 }
 END_TEST
 
+/* Priorities of two routes, and their levels. */
+static const struct
+{
+  const char *moved;
+  const char *odd;
+  uint32_t moved_level;
+  uint32_t odd_level;
+} levels[] = {
+  { "2", "1", 2, 1 },          { "7", "0", 7, 0 },     { "10", "20", 0, 1 },
+  { "4294967295", "8", 1, 0 }, { "300", "300", 0, 0 },
+};
+
+/* Guards against routes of different priorities that are treated as equal, since both
+ * numbers are large. */
+START_TEST (test_priorities_of_any_size_are_told_apart)
+{
+  char route[256];
+  change_t change = { "\"priority\":1,\"service\":\"a\"}]}]", route };
+  fq_config_t *config;
+  const fq_route_t *odd;
+  const fq_route_t *moved;
+
+  snprintf (route, sizeof route,
+            "\"priority\":%s,\"service\":\"a\"}]},{\"host\":\"three\",\"paths\":["
+            "{\"prefix\":\"/\",\"route_type\":\"safe\",\"timeout\":\"1s\","
+            "\"max_attempts\":2,\"priority\":%s,\"service\":\"a\"}]}]",
+            levels[_i].odd, levels[_i].moved);
+  config = read_changed (&change);
+  odd = fq_config_find_route (config, "two", "/odd/x");
+  moved = fq_config_find_route (config, "three", "/");
+  ck_assert_uint_eq (odd->level < moved->level,
+                     levels[_i].odd_level < levels[_i].moved_level);
+  ck_assert_uint_eq (odd->level > moved->level,
+                     levels[_i].odd_level > levels[_i].moved_level);
+  fq_config_unref (config);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -259,6 +298,8 @@
   tcase_add_test (tcase, test_long_names_are_kept_whole);
   tcase_add_loop_test (tcase, test_numbers_of_any_size_are_read, 0,
                        sizeof numbers / sizeof numbers[0]);
+  tcase_add_loop_test (tcase, test_priorities_of_any_size_are_told_apart, 0,
+                       sizeof levels / sizeof levels[0]);
   tcase_add_test (tcase, test_weights_of_any_size_share_requests);
   tcase_add_test (tcase, test_routes_of_a_host_are_found_in_all_places);
   srunner_run_all (runner, CK_NORMAL);
