Let each node ask others for their version of the configuration

Cause: two nodes, by address, tell a node once; nobody asks. In a quiet time that is all it hears until its own long read is due, up to 18 s with twelve nodes.

Change: each node asks another one, chosen at random, for its version every 0.7 s at most, and, while none answers, after 0.25 s two, four, then eight others. The question is a ping, which states the version of the one that asks, so that either of the two learns. What a node sends does not depend on the number of nodes.

--- a/src/mesh/config_state.c
+++ b/src/mesh/config_state.c
@@ -11,6 +11,12 @@
  * address, so that every node is told by some others, and those that missed it tell on. A
  * node that finds a version late in the store tells all others, since it may be the only
  * one.
+ *
+ * Those that would tell a node may be gone by then. Each node therefore also asks another
+ * one, chosen at random each time, for its version every FQ_VERSION_INTERVAL_US, and soon
+ * more of them while none answers. The question states its own version, so that either of
+ * the two learns of the newer one. The cost for a node does not depend on the number of
+ * nodes.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +27,16 @@
  * from another node, and the interval at which that request is repeated. */
 #define FQ_CONFIG_REQUEST_DELAY_US (300 * FQ_MICROSECONDS_PER_MS)
 
+/* Between two questions for the version of another node: several fit into the time after
+ * a disruption in which a node has to be up to date again. Up to a quarter of it is
+ * random, so that the nodes don't ask at the same time. */
+#define FQ_VERSION_INTERVAL_US (700 * FQ_MICROSECONDS_PER_MS)
+#define FQ_VERSION_JITTER_DIVISOR 4
+
+/* Without an answer for this long, twice as many nodes are asked, at most so many. */
+#define FQ_VERSION_ANSWER_US (250 * FQ_MICROSECONDS_PER_MS)
+#define FQ_NODES_ASKED_MAX 8
+
 /* Nodes that each node tells of a version, so that one that is away does not matter. */
 #define FQ_NODES_TOLD 2
 
@@ -76,7 +92,7 @@
                    mesh->now + FQ_CONFIG_REQUEST_DELAY_US);
 }
 
-/* Every frame states the version in force. */
+/* Every frame states the version in force, and so does the answer. */
 static void
 tell_version (fq_mesh_t *mesh, const fq_peer_t *peer)
 {
@@ -85,6 +101,89 @@
   fq_mesh_send_to_gate (mesh, peer->address, &frame);
 }
 
+/* The next connected node after the cursor, which goes round all of them. Return: NULL:
+ * there is none but this node. */
+static const fq_peer_t *
+next_node_to_ask (fq_mesh_t *mesh)
+{
+  const fq_peer_t *peer;
+
+  for (int round = 0; round < 2; round++)
+    {
+      while ((peer = fq_map_next (&mesh->peers, &mesh->version_asked_cursor)) != NULL)
+        {
+          if (peer != mesh->self && peer->link == FQ_LINK_UP)
+            return peer;
+        }
+      mesh->version_asked_cursor = 0;
+    }
+  return NULL;
+}
+
+static bool
+was_version_stated (const fq_mesh_t *mesh)
+{
+  return mesh->version_stated_at >= mesh->version_asked_at;
+}
+
+/* How many nodes to ask now. Starts anew at some node unless the last ones did not
+ * answer, whose successors are asked then. */
+static uint32_t
+choose_asked_count (fq_mesh_t *mesh)
+{
+  uint32_t doubled = mesh->version_asked_count * 2;
+
+  if (!was_version_stated (mesh))
+    return doubled < FQ_NODES_ASKED_MAX ? doubled : FQ_NODES_ASKED_MAX;
+  mesh->version_asked_cursor
+      = (size_t)fq_random_below (&mesh->random, mesh->peers.capacity);
+  return 1;
+}
+
+static void
+arm_version_timer (fq_mesh_t *mesh)
+{
+  uint64_t jitter = FQ_VERSION_INTERVAL_US / FQ_VERSION_JITTER_DIVISOR;
+
+  fq_timers_arm (&mesh->timers, &mesh->version_timer,
+                 mesh->now + FQ_VERSION_INTERVAL_US
+                     - (fq_time_t)fq_random_below (&mesh->random, jitter));
+}
+
+void
+fq_mesh_ask_version (fq_mesh_t *mesh)
+{
+  uint32_t count = choose_asked_count (mesh);
+  const fq_peer_t *peer = next_node_to_ask (mesh);
+
+  if (peer == NULL)
+    {
+      arm_version_timer (mesh);
+      return;
+    }
+  mesh->version_asked_at = mesh->now;
+  mesh->version_asked_count = count;
+  for (; peer != NULL && count > 0; count--)
+    {
+      tell_version (mesh, peer);
+      peer = next_node_to_ask (mesh);
+    }
+  fq_timers_arm (&mesh->timers, &mesh->version_timer, mesh->now + FQ_VERSION_ANSWER_US);
+}
+
+void
+fq_mesh_record_gate_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version)
+{
+  bool answers = !was_version_stated (mesh);
+
+  if (node == mesh->address)
+    return;
+  mesh->version_stated_at = mesh->now;
+  if (answers)
+    arm_version_timer (mesh);
+  fq_mesh_record_config_version (mesh, node, version);
+}
+
 static void
 tell_version_to_all (fq_mesh_t *mesh)
 {
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -173,6 +173,9 @@
     case FQ_MESH_TIMER_CONFIG:
       fq_mesh_request_config (mesh);
       break;
+    case FQ_MESH_TIMER_VERSION:
+      fq_mesh_ask_version (mesh);
+      break;
     case FQ_MESH_TIMER_SHUTDOWN:
       fq_mesh_continue_shutdown (mesh);
       break;
@@ -388,6 +391,7 @@
   fq_list_init (&mesh->loopback);
   init_gate (&mesh->gate, &mesh->params);
   mesh->config_timer.kind = FQ_MESH_TIMER_CONFIG;
+  mesh->version_timer.kind = FQ_MESH_TIMER_VERSION;
   mesh->discovery_timer.kind = FQ_MESH_TIMER_DISCOVERY;
   mesh->shutdown_timer.kind = FQ_MESH_TIMER_SHUTDOWN;
   mesh->self = fq_peer_get_or_add (mesh, mesh->address);
@@ -395,6 +399,7 @@
   mesh->self->handshake_complete = true;
   mesh->self->zone = fq_text_ref (mesh->zone);
   fq_timers_arm (&mesh->timers, &mesh->discovery_timer, now);
+  fq_timers_arm (&mesh->timers, &mesh->version_timer, now);
   *out = mesh;
   return FQ_OK;
 }
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -50,6 +50,7 @@
   FQ_MESH_TIMER_CRASH,     /* check whether the server has crashed */
   FQ_MESH_TIMER_DISCOVERY, /* read the directory of nodes again */
   FQ_MESH_TIMER_CONFIG,    /* request the configuration of another node */
+  FQ_MESH_TIMER_VERSION,   /* ask other nodes for their version of the configuration */
   FQ_MESH_TIMER_SHUTDOWN,  /* next step of the graceful shutdown */
 } fq_mesh_timer_t;
 
@@ -244,7 +245,12 @@
   uint64_t seen_config_version;
   fq_node_address_t seen_config_node; /* the node that reported it */
   fq_timer_entry_t config_timer;
-  fq_map_t peers; /* by address */
+  fq_timer_entry_t version_timer;
+  fq_time_t version_asked_at;   /* when other nodes were asked for theirs */
+  fq_time_t version_stated_at;  /* when the gate of another node stated its own last */
+  uint32_t version_asked_count; /* nodes that were asked at once */
+  size_t version_asked_cursor;  /* in @peers, after the last one that was asked */
+  fq_map_t peers;               /* by address */
   fq_peer_t *self;
   fq_map_t entry_connections; /* by id */
   fq_map_t exchanges;         /* by id */
@@ -297,6 +303,11 @@
  * unless it is newer than version @known. */
 void fq_mesh_send_config (fq_mesh_t *mesh, fq_id_t entry_connection, uint64_t known);
 
+/** fq_mesh_record_gate_version() - as fq_mesh_record_config_version(), of the gate of
+ * another node, which may answer a question for it. */
+void
+fq_mesh_record_gate_version (fq_mesh_t *mesh, fq_node_address_t node, uint64_t version);
+
 /** fq_mesh_record_config_version() - @node has reported that @version is in force there;
  * if it is newer than this node's, schedule a request for it. */
 void
@@ -307,6 +318,10 @@
  * that node is connected. */
 void fq_mesh_request_config (fq_mesh_t *mesh);
 
+/** fq_mesh_ask_version() - ask some other node for its version of the configuration, or
+ * more of them if the last ones did not answer, and arm the timer for the next time. */
+void fq_mesh_ask_version (fq_mesh_t *mesh);
+
 /* stopping.c: the graceful shutdown. */
 void fq_mesh_begin_shutdown (fq_mesh_t *mesh);
 void fq_mesh_continue_shutdown (fq_mesh_t *mesh);
--- a/src/mesh/peers.c
+++ b/src/mesh/peers.c
@@ -312,7 +312,7 @@
   fq_server_memory_record (&peer->memory, mesh->now,
                            has_server (frame) ? &frame->server : &peer->server,
                            frame->gate_load.rate_limit);
-  fq_mesh_record_config_version (mesh, peer->address, frame->gate_load.config_version);
+  fq_mesh_record_gate_version (mesh, peer->address, frame->gate_load.config_version);
   switch (frame->kind)
     {
     case FQ_FRAME_WELCOME:
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -16,7 +16,9 @@
 #include "mesh/mesh.h"
 #include "util/timers.h"
 
+#ifndef FLEET_NODES
 #define FLEET_NODES 4
+#endif
 #define FLEET_DELAY_US FQ_MICROSECONDS_PER_MS
 #define FLEET_RUNS_MAX 512
 #define FLEET_REPLIES_MAX 512
@@ -90,6 +92,7 @@
   size_t reply_count;
   fleet_message_t messages[FLEET_MESSAGES_MAX];
   size_t message_count;
+  size_t sent_count; /* frames sent so far */
   fq_config_t *config;
   fq_config_t *newer_config; /* what CONFIG frames carry; NULL: they are lost */
   fq_id_t next_request;
@@ -153,6 +156,7 @@
   };
   if (frame == NULL)
     return;
+  fleet->sent_count++;
   message->frame = *frame;
   fq_http_message_ref (message->frame.message);
   fq_text_ref (message->frame.zone);
