--- a/src/http/client.c
+++ b/src/http/client.c
@@ -220,7 +220,7 @@
       match = match_answer (call);
       if (match != FQ_HTTP_MATCH_OTHER)
         {
-          finish_call (call, offset < size || match == FQ_HTTP_MATCH_UNNAMED);
+          finish_call (call, offset < size || match == FQ_HTTP_MATCH_LAST);
           return;
         }
       if (!drop_other_answer (call))
--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -169,7 +169,7 @@
 {
   (void)context;
   (void)answer;
-  return FQ_HTTP_MATCH_UNNAMED;
+  return FQ_HTTP_MATCH_LAST;
 }
 
 static void
--- a/tests/http/test_sockets.c
+++ b/tests/http/test_sockets.c
@@ -321,7 +321,7 @@
   fq_http_message_get (answer, "Id", id, sizeof id);
   if (strcmp (id, "old") == 0)
     return FQ_HTTP_MATCH_OTHER;
-  return strcmp (id, "none") == 0 ? FQ_HTTP_MATCH_UNNAMED : FQ_HTTP_MATCH_CALL;
+  return strcmp (id, "none") == 0 ? FQ_HTTP_MATCH_LAST : FQ_HTTP_MATCH_CALL;
 }
 
 static void
