--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,8 +31,8 @@
 {
   FQ_HTTP_MATCH_OTHER, /* to an earlier call; it is dropped, and the call goes on waiting
                         */
-  FQ_HTTP_MATCH_LAST, /* to this call, but a second copy of it could be taken for the
-                       * answer to a later call, so the connection is not used again */
+  FQ_HTTP_MATCH_LAST,  /* to this call, but a second copy of it could be taken for the
+                        * answer to a later call, so the connection is not used again */
   FQ_HTTP_MATCH_CALL,
 } fq_http_match_t;
 
--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -199,8 +199,8 @@
 
   if (id != NULL)
     snprintf (named, sizeof named, "X-Attempt-Id: %s\r\n", id);
-  snprintf (out, ANSWER_BYTES, "HTTP/1.1 %s\r\n%s%s\r\nContent-Length: 2\r\n\r\nab", status,
-            named, field);
+  snprintf (out, ANSWER_BYTES, "HTTP/1.1 %s\r\n%s%s\r\nContent-Length: 2\r\n\r\nab",
+            status, named, field);
   return out;
 }
 
@@ -251,8 +251,8 @@
 
 #define REPEATS (TIMES * (int)REFUSALS * 16)
 
-/* Guards against a refusal that the server writes once more on a kept connection: the next
- * request there ran, and its client was told that it did not, so that it ran twice
+/* Guards against a refusal that the server writes once more on a kept connection: the
+ * next request there ran, and its client was told that it did not, so that it ran twice
  * (REFUSED, TWICE). */
 START_TEST (test_repeated_refusal_is_no_answer_to_the_next_request)
 {
@@ -284,8 +284,8 @@
       write_text (first, copy, strlen (copy));
       run_for (STEP_SECONDS);
     }
-  snprintf (glued, sizeof glued, "%s%s%s", repeat.time == GLUED_BEFORE ? copy : "", answer,
-            repeat.time == GLUED_AFTER ? copy : "");
+  snprintf (glued, sizeof glued, "%s%s%s", repeat.time == GLUED_BEFORE ? copy : "",
+            answer, repeat.time == GLUED_AFTER ? copy : "");
   /* On another connection, the faulty server writes the copy on the first one. */
   if (second == first)
     write_text (second, glued, strlen (glued));
@@ -337,9 +337,9 @@
 typedef enum
 {
   NOTHING,
-  INTERIM,       /* an interim answer */
-  OTHER_ANSWER,  /* an answer to an earlier request */
-  KEPT,          /* an earlier request and its answer, on the same connection */
+  INTERIM,      /* an interim answer */
+  OTHER_ANSWER, /* an answer to an earlier request */
+  KEPT,         /* an earlier request and its answer, on the same connection */
   PRECEDINGS,
 } preceding_t;
 
@@ -409,7 +409,8 @@
 }
 END_TEST
 
-/* The same for a health check: what breaks off does not say that the server is healthy. */
+/* The same for a health check: what breaks off does not say that the server is healthy.
+ */
 START_TEST (test_health_check_that_breaks_off_is_unanswered)
 {
   static const char healthy[]
