Answer large requests 503 while no configuration is known

Callers saw 413 for an upload of 1 MB or more, and 431 for a head of 16 KB or more, from a node that had just started, though the limits of the operators, which it did not know yet, allow them.

Cause: until the first configuration the listener had fixed limits of its own, also of 256 connections.

What heads hold is bounded by the account of memory.

Test that failed before ("the upload got HTTP/1.1 413 Content Too Large"): test_large_requests_before_configuration.

--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -248,6 +248,22 @@
                               &metrics_handlers, node);
 }
 
+/* Without a configuration no request is too large for the operators' limits: each is
+ * answered 503, which clients repeat, unlike 413 and 431. */
+static void
+set_unknown_limits (fq_node_t *node)
+{
+  const fq_http_server_options_t usual = FQ_HTTP_SERVER_OPTIONS_INIT;
+  const fq_request_limits_t limits = {
+    .head_bytes = SIZE_MAX / 2,
+    .body_bytes = SIZE_MAX / 2,
+    .head_timeout_ms = usual.head_timeout_ms,
+    .idle_timeout_ms = usual.idle_timeout_ms,
+  };
+
+  fq_node_http_set_limits (node, &limits);
+}
+
 int
 fq_node_http_open (fq_node_t *node)
 {
@@ -255,6 +271,8 @@
   int error = open_listener (node, &node->requests, settings->requests_address,
                              &request_handlers);
 
+  if (error == FQ_OK)
+    set_unknown_limits (node);
   if (error == FQ_OK)
     error = open_listener (node, &node->readiness, settings->readiness_address,
                            &readiness_handlers);
