Accept answers of servers with large heads

Change: the head of an answer may take a 64th of the memory limit, and 64 KB at least; what is held counts in the account of memory as before.

Test that failed before: test_answer_with_a_large_head_is_an_answer (200,000 bytes).

--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -16,9 +16,10 @@
 #define FQ_IDLE_MS_MAX_NON_IDEMPOTENT 1000
 #define FQ_PROBE_TIMEOUT_MS 1000
 
-/* Shares of the memory limit: of the body of one answer, and of all that are received at
- * the same time. A body is held up to four times on its way, as buffer, message, frame
- * and output. */
+/* Shares of the memory limit: of the head and the body of one answer, and of all bodies
+ * that are received at the same time. A body is held up to four times on its way, as
+ * buffer, message, frame and output. */
+#define FQ_ANSWER_HEAD_MEMORY_DIVISOR 64
 #define FQ_ANSWER_MEMORY_DIVISOR 16
 #define FQ_ANSWERS_MEMORY_DIVISOR 8
 
@@ -119,6 +120,8 @@
   struct sockaddr_in parsed;
   int error;
 
+  if (memory_bytes / FQ_ANSWER_HEAD_MEMORY_DIVISOR > options.limits.head_bytes)
+    options.limits.head_bytes = memory_bytes / FQ_ANSWER_HEAD_MEMORY_DIVISOR;
   options.limits.body_bytes = memory_bytes / FQ_ANSWER_MEMORY_DIVISOR;
   options.receiving_bytes_max = memory_bytes / FQ_ANSWERS_MEMORY_DIVISOR;
   if (calls == NULL)
--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -450,6 +450,37 @@
 }
 END_TEST
 
+#define LARGE_FIELD_BYTES 200000
+
+/* Guards against an answer that is taken for malformed, as its head is larger than some
+ * size that no page sets. */
+START_TEST (test_answer_with_a_large_head_is_an_answer)
+{
+  char *answer = malloc (LARGE_FIELD_BYTES + ANSWER_BYTES);
+  size_t size;
+  int fd;
+
+  size = (size_t)sprintf (answer,
+                          "HTTP/1.1 200 OK\r\nX-Attempt-Id: r2\r\n"
+                          "X-Response-Signature: s\r\nX-Large: %0*d\r\n"
+                          "Content-Length: 2\r\n\r\nab",
+                          LARGE_FIELD_BYTES, 7);
+  fd = begin_answer (NOTHING);
+  for (size_t sent = 0; sent < size; sent += ANSWER_BYTES)
+    {
+      size_t left = size - sent;
+
+      write_text (fd, answer + sent, left < ANSWER_BYTES ? left : ANSWER_BYTES);
+      ev_run (loop, EVRUN_NOWAIT);
+    }
+  run_until (&results[2].ended);
+  ck_assert (results[2].answered);
+  ck_assert_int_eq (results[2].outcome, FQ_SERVER_ANSWERED);
+  close (fd);
+  free (answer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -466,6 +497,7 @@
   tcase_add_test (repeats, test_repeated_refusal_is_no_answer_to_a_health_check);
   tcase_add_loop_test (repeats, test_health_check_that_breaks_off_is_unanswered, 0,
                        (int)sizeof whole_answer);
+  tcase_add_test (repeats, test_answer_with_a_large_head_is_an_answer);
   suite_add_tcase (suite, breaks);
   tcase_add_loop_test (breaks, test_answer_that_breaks_off_is_no_answer, 0,
                        (int)sizeof whole_answer - 1);
