--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -15,7 +15,8 @@
 #include "node/server_calls.h"
 
 #define MEMORY_BYTES (64u << 20)
-#define WAIT_SECONDS 2.0
+#define WAIT_STEPS 400
+#define WAIT_STEP_SECONDS 0.005
 #define STEP_SECONDS 0.02
 #define RUNS_MAX 8
 #define REQUEST_BYTES 4096
@@ -132,12 +133,12 @@
   ev_timer_stop (loop, &timer);
 }
 
-/* Runs the loop until @flag is set, or for WAIT_SECONDS. */
+/* Runs the loop until @flag is set, or for WAIT_STEPS. */
 static void
 run_until (const bool *flag)
 {
-  for (double waited = 0; !*flag && waited < WAIT_SECONDS; waited += STEP_SECONDS / 4)
-    run_for (STEP_SECONDS / 4);
+  for (int step = 0; !*flag && step < WAIT_STEPS; step++)
+    run_for (WAIT_STEP_SECONDS);
 }
 
 static void
@@ -170,9 +171,9 @@
   char request[REQUEST_BYTES];
   int fd = -1;
 
-  for (double waited = 0; waited < WAIT_SECONDS; waited += STEP_SECONDS / 4)
+  for (int step = 0; step < WAIT_STEPS; step++)
     {
-      run_for (STEP_SECONDS / 4);
+      run_for (WAIT_STEP_SECONDS);
       if (kept >= 0 && recv (kept, request, sizeof request, MSG_DONTWAIT) > 0)
         return kept;
       if (fd < 0)
