Let the nodes take turns to look for a change that all have missed

What callers see: the store is silent to all nodes for 0.6 s, an operator moves a route meanwhile. In a quiet time all nodes may go on with the old configuration for longer than the 3 s after the silence in which they have to be in touch, and their requests run at the old service.

Cause: a read that waits in the store and whose answer is lost is noticed at the end of its wait. The waits were random, one read each 1.5 s over the fleet on average, so that in some of the cases no read ended in time; a fleet of one or two looked every 4 s.

Change: the nodes take turns in the order of their addresses, one each 1.25 s (or more often in fleets of more than 20), by the steady clock that the store states in its answers. A change ends all reads at the same time and a node starts at any time, so turns are times of one clock and not waits. A store without a clock gets random turns as before. Ruled out: shorter random waits, which need three times the calls for a gap that is too long in 1 of 400 cases still.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -300,10 +300,21 @@
   return mesh->config == NULL ? 0 : mesh->config->version;
 }
 
-size_t
-fq_mesh_nodes_up (const fq_mesh_t *mesh)
+fq_fleet_position_t
+fq_mesh_position (const fq_mesh_t *mesh)
 {
-  return fq_peer_count_up (mesh) + 1;
+  fq_fleet_position_t position = { .count = 1 };
+  size_t cursor = 0;
+  const fq_peer_t *peer;
+
+  while ((peer = fq_map_next (&mesh->peers, &cursor)) != NULL)
+    {
+      if (peer == mesh->self || peer->link != FQ_LINK_UP)
+        continue;
+      position.count++;
+      position.index += peer->address < mesh->address;
+    }
+  return position;
 }
 
 void
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -328,8 +328,16 @@
 /** fq_mesh_config_version() - version of the configuration in force; 0: none yet. */
 uint64_t fq_mesh_config_version (const fq_mesh_t *mesh);
 
-/** fq_mesh_nodes_up() - number of nodes that are connected, with this one. */
-size_t fq_mesh_nodes_up (const fq_mesh_t *mesh);
+/** struct fq_fleet_position_t - the place of this node among those that are connected, in
+ * the order of their addresses. */
+typedef struct
+{
+  size_t index; /* below @count */
+  size_t count; /* with this node */
+} fq_fleet_position_t;
+
+/** fq_mesh_position() - the place of this node among those that are connected now. */
+fq_fleet_position_t fq_mesh_position (const fq_mesh_t *mesh);
 
 /** fq_mesh_write_metrics() - append all metrics in the Prometheus text format. */
 void fq_mesh_write_metrics (const fq_mesh_t *mesh, fq_buffer_t *out);
--- a/src/node/config_reads.c
+++ b/src/node/config_reads.c
@@ -19,11 +19,12 @@
 #define FQ_OVERDUE_TIMEOUT_MS 28000 /* that an overdue answer is awaited */
 
 /* The store may lose the answer to a read that waits, and a node learns of that when its
- * next read is due. All nodes together begin a read in each such interval, so that one of
- * them soon finds what all have missed. */
-#define FQ_FEED_SPACING_MS 1500
-#define FQ_FEED_WAIT_SHORTEST_MS 4000
-#define FQ_FEED_WAIT_LONGEST_MS 25000
+ * next read is due. The nodes take turns in the order of their addresses, one in each
+ * such interval, so that one of them soon finds what all have missed. */
+#define FQ_FEED_SPACING_MS 1250
+#define FQ_FEED_PERIOD_SHORTEST_MS 1500 /* between two turns of a node */
+#define FQ_FEED_PERIOD_LONGEST_MS 25000
+#define FQ_FEED_WAIT_SHORTEST_MS 500
 #define FQ_RETRY_JITTER 0.5 /* share of the backoff that is random */
 
 /* Many nodes must not repeat their reads at the same time, nor a large fleet as often as
@@ -93,21 +94,34 @@
   fq_config_unref (config);
 }
 
-/* After a change, or a failure, all nodes begin a read at the same time; a random wait
- * spreads their later ones. */
+static uint64_t
+feed_period_ms (size_t nodes)
+{
+  uint64_t period = FQ_FEED_SPACING_MS * nodes;
+
+  if (period < FQ_FEED_PERIOD_SHORTEST_MS)
+    return FQ_FEED_PERIOD_SHORTEST_MS;
+  return period < FQ_FEED_PERIOD_LONGEST_MS ? period : FQ_FEED_PERIOD_LONGEST_MS;
+}
+
+/*
+ * The wait until the next turn of this node. Changes and failures end the reads of all
+ * nodes at the same time, and each node starts at another one, so turns are times of the
+ * one clock that all nodes see.
+ * @now_ms: the clock of the store; 0: it states none, and turns are random
+ */
 static uint32_t
-choose_feed_wait (fq_store_watch_t *watch, bool waited_in_full)
+choose_feed_wait (fq_store_watch_t *watch, uint64_t now_ms)
 {
-  uint64_t longest = FQ_FEED_SPACING_MS * watch->handlers->count_nodes (watch->context);
-
-  if (longest < FQ_FEED_WAIT_SHORTEST_MS)
-    longest = FQ_FEED_WAIT_SHORTEST_MS;
-  if (longest > FQ_FEED_WAIT_LONGEST_MS)
-    longest = FQ_FEED_WAIT_LONGEST_MS;
-  if (waited_in_full)
-    return (uint32_t)longest;
-  return FQ_ANSWER_DUE_MS
-         + (uint32_t)fq_random_below (&watch->random, longest - FQ_ANSWER_DUE_MS);
+  fq_fleet_position_t position = watch->handlers->position (watch->context);
+  uint64_t period = feed_period_ms (position.count);
+  uint64_t turn = period * position.index / position.count;
+  uint64_t earliest = now_ms + FQ_FEED_WAIT_SHORTEST_MS;
+
+  if (now_ms == 0)
+    turn = fq_random_below (&watch->random, period);
+  return FQ_FEED_WAIT_SHORTEST_MS
+         + (uint32_t)((turn + period - earliest % period) % period);
 }
 
 static void
@@ -115,8 +129,7 @@
 {
   bool found_late = watch->store_lost;
 
-  watch->feed_wait_ms
-      = choose_feed_wait (watch, watch->feed_wait_ms != 0 && rows->count == 0);
+  watch->feed_wait_ms = choose_feed_wait (watch, rows->now_ms);
   watch->version = rows->version;
   reset_config_backoff (watch);
   for (size_t i = 0; i < rows->count; i++)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -377,18 +377,18 @@
   fq_node_dispatch (context, &event);
 }
 
-static size_t
-count_nodes (void *context)
+static fq_fleet_position_t
+position (void *context)
 {
   const fq_node_t *node = context;
 
-  return fq_mesh_nodes_up (node->mesh);
+  return fq_mesh_position (node->mesh);
 }
 
 static const fq_store_watch_handlers_t store_handlers = {
   .config = on_config,
   .nodes = on_nodes,
-  .count_nodes = count_nodes,
+  .position = position,
 };
 
 static void
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -19,7 +19,7 @@
   /* @found_late: the store failed to deliver it when it was written */
   void (*config) (void *context, fq_config_t *config, bool found_late);
   void (*nodes) (void *context, const fq_node_address_t *addresses, size_t count);
-  size_t (*count_nodes) (void *context); /* nodes that read, with this one */
+  fq_fleet_position_t (*position) (void *context); /* among the nodes that read */
 } fq_store_watch_handlers_t;
 
 /**
--- a/src/settings/reader.c
+++ b/src/settings/reader.c
@@ -222,12 +222,12 @@
 {
   const char *text = json_string_value (value);
   char allowed[FQ_READER_ALLOWED_BYTES];
-  uint32_t ms;
+  uint64_t ms;
 
   if (text != NULL && fq_duration_parse (&ms, text) == FQ_OK && ms >= field->min
       && (ms <= field->max || field->unbounded))
     {
-      *to = ms < field->max ? ms : field->max;
+      *to = ms < field->max ? (uint32_t)ms : field->max;
       return;
     }
   snprintf (allowed, sizeof allowed, "a duration from \"%ums\" to \"%ums\"", field->min,
--- a/src/util/duration.c
+++ b/src/util/duration.c
@@ -9,7 +9,7 @@
 #define FQ_MS_PER_SECOND 1000.0
 
 int
-fq_duration_parse (uint32_t *out_ms, const char *text)
+fq_duration_parse (uint64_t *out_ms, const char *text)
 {
   char *unit = (char *)text;
   double ms = 0;
@@ -24,6 +24,6 @@
                          text);
   if (ms > 0 && ms < 1)
     ms = 1;
-  *out_ms = ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
+  *out_ms = ms < (double)FQ_DURATION_MAX_MS ? (uint64_t)ms : FQ_DURATION_MAX_MS;
   return FQ_OK;
 }
--- a/tests/node/test_store_answers.c
+++ b/tests/node/test_store_answers.c
@@ -67,15 +67,15 @@
   (void)count;
 }
 
-static size_t
-count_nodes (void *context)
+static fq_fleet_position_t
+position (void *context)
 {
   (void)context;
-  return 12;
+  return (fq_fleet_position_t){ .index = 5, .count = 12 };
 }
 
 static const fq_store_watch_handlers_t handlers
-    = { .config = on_config, .nodes = on_nodes, .count_nodes = count_nodes };
+    = { .config = on_config, .nodes = on_nodes, .position = position };
 
 static void
 open_store (store_t *store, preceding_t preceding)
--- a/tests/node/test_store_watch.c
+++ b/tests/node/test_store_watch.c
@@ -19,16 +19,21 @@
 #include "util/base64.h"
 #include "util/text.h"
 
-#define RIGS_MAX 8
+#define RIGS_MAX 28
+#define READERS_MAX 30
 #define ANSWERS_MAX 64
 #define CHANGES_MAX 3
+#define FIRST_ADDRESS 0x7f000001
+#define START_STRIDE 7
 #define VALUE_BYTES 1024
 #define ANSWER_BYTES 2048
 /* Bounds of the platform: after CONTACT without a disturbance of the store, a change is
  * in force within APPLY. */
 #define CONTACT 3.0
 #define APPLY 2.0
+#define TELLING 0.4 /* until all nodes have what one of them has found */
 #define NEVER 1e9
+#define MS_PER_SECOND 1000
 
 /** span_t - from one time to another; empty if both are 0. */
 typedef struct
@@ -47,7 +52,16 @@
   bool waits; /* for a change */
 } answer_t;
 
-/** rig_t - a store, what it does at which time, and the node that reads from it. */
+/** reader_t - a node that reads from the store. */
+typedef struct
+{
+  struct rig *rig;
+  size_t index; /* in the order of addresses */
+  fq_store_watch_t *watch;
+  ev_timer start_timer;
+} reader_t;
+
+/** rig_t - a store, what it does at which time, and the nodes that read from it. */
 typedef struct rig
 {
   /* What the store does. */
@@ -55,19 +69,20 @@
   span_t silent;               /* never answers, also what is due meanwhile */
   double delay;                /* of each answer */
   double changes[CHANGES_MAX]; /* when the operator writes a configuration; 0: not */
-  double starts;               /* when the node starts */
+  double starts;               /* when the first node starts */
+  double start_span;           /* within which the others start, in no order */
+  size_t reader_count;         /* 0 counts as 1 */
   /* State of both. */
   fq_http_server_t *server;
   struct sockaddr_in address;
-  fq_store_watch_t *watch;
+  reader_t readers[READERS_MAX];
   ev_timer change_timer;
   ev_timer refuse_timer;
-  ev_timer start_timer;
   answer_t answers[ANSWERS_MAX];
   uint64_t version; /* of the store, and of the configuration in it */
   size_t change_count;
   size_t calls;
-  uint64_t in_force; /* version of the configuration that the node read last */
+  uint64_t in_force; /* newest version of the configuration that a node has read */
   double in_force_at[CHANGES_MAX + 1];
 } rig_t;
 
@@ -97,8 +112,8 @@
 
   if (rig->version <= after)
     {
-      snprintf (out, size, "{\"rows\":[],\"ver\":%llu,\"now\":\"1ms\"}",
-                (unsigned long long)rig->version);
+      snprintf (out, size, "{\"rows\":[],\"ver\":%llu,\"now\":\"%.0fms\"}",
+                (unsigned long long)rig->version, ev_now (loop) * MS_PER_SECOND);
       return;
     }
   snprintf (
@@ -111,8 +126,9 @@
   value = fq_base64_encode (document, strlen (document));
   snprintf (out, size,
             "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"ver\":%llu,"
-            "\"value\":\"%s\"}],\"ver\":%llu,\"now\":\"1ms\"}",
-            (unsigned long long)rig->version, value, (unsigned long long)rig->version);
+            "\"value\":\"%s\"}],\"ver\":%llu,\"now\":\"%.0fms\"}",
+            (unsigned long long)rig->version, value, (unsigned long long)rig->version,
+            ev_now (loop) * MS_PER_SECOND);
   free (value);
 }
 
@@ -187,7 +203,7 @@
   answer->after = number_in_target (message->target, "after=");
   answer->waits
       = wait_ms > 0 && rig->version <= answer->after && !is_within (&rig->refuses);
-  schedule_answer (answer, answer->waits ? (double)wait_ms / 1000 : rig->delay);
+  schedule_answer (answer, answer->waits ? (double)wait_ms / MS_PER_SECOND : rig->delay);
 }
 
 static void
@@ -250,7 +266,7 @@
 static void
 on_config (void *context, fq_config_t *config, bool found_late)
 {
-  rig_t *rig = context;
+  rig_t *rig = ((reader_t *)context)->rig;
 
   (void)found_late;
   if (config->version <= rig->in_force)
@@ -269,27 +285,50 @@
   (void)count;
 }
 
-static size_t
-count_nodes (void *context)
+static fq_fleet_position_t
+position (void *context)
 {
-  (void)context;
-  return 1;
+  const reader_t *reader = context;
+
+  return (fq_fleet_position_t){ .index = reader->index,
+                                .count = reader->rig->reader_count };
 }
 
 static const fq_store_watch_handlers_t watch_handlers
-    = { .config = on_config, .nodes = on_nodes, .count_nodes = count_nodes };
+    = { .config = on_config, .nodes = on_nodes, .position = position };
 
 static void
 on_start (struct ev_loop *running, ev_timer *timer, int events)
 {
-  rig_t *rig = timer->data;
+  reader_t *reader = timer->data;
   char text[FQ_ADDRESS_BYTES];
 
   (void)running;
   (void)events;
-  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (rig->address.sin_port));
-  ck_assert_int_eq (
-      fq_store_watch_open (&rig->watch, &io, text, 0x7f000001, &watch_handlers, rig), 0);
+  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (reader->rig->address.sin_port));
+  ck_assert_int_eq (fq_store_watch_open (&reader->watch, &io, text,
+                                         FIRST_ADDRESS + (uint32_t)reader->index,
+                                         &watch_handlers, reader),
+                    0);
+}
+
+static void
+start_readers (rig_t *rig)
+{
+  if (rig->reader_count == 0)
+    rig->reader_count = 1;
+  for (size_t i = 0; i < rig->reader_count; i++)
+    {
+      reader_t *reader = &rig->readers[i];
+      double share = (double)(i * START_STRIDE % rig->reader_count) / READERS_MAX;
+
+      reader->rig = rig;
+      reader->index = i;
+      ev_timer_init (&reader->start_timer, on_start,
+                     rig->starts + share * rig->start_span, 0.);
+      reader->start_timer.data = reader;
+      ev_timer_start (loop, &reader->start_timer);
+    }
 }
 
 static void
@@ -323,9 +362,7 @@
   rig->refuse_timer.data = rig;
   if (rig->refuses.to > 0)
     ev_timer_start (loop, &rig->refuse_timer);
-  ev_timer_init (&rig->start_timer, on_start, rig->starts, 0.);
-  rig->start_timer.data = rig;
-  ev_timer_start (loop, &rig->start_timer);
+  start_readers (rig);
 }
 
 static void
@@ -367,7 +404,8 @@
 {
   for (size_t i = 0; i < rig_count; i++)
     {
-      fq_store_watch_close (rigs[i].watch);
+      for (size_t j = 0; j < rigs[i].reader_count; j++)
+        fq_store_watch_close (rigs[i].readers[j].watch);
       fq_http_server_close (rigs[i].server);
     }
   fq_io_flush (&io);
@@ -432,6 +470,42 @@
 }
 END_TEST
 
+/* Guards against review case 8, on a related path: all nodes miss a change that is made
+ * in a short silence of the store. One of them has to find it in time to tell the others,
+ * whatever the moment of the silence. */
+START_TEST (test_change_that_all_nodes_miss_is_found_by_one)
+{
+  static const size_t reader_counts[] = { 1, 2, 3, 5, 12, 16, 30 };
+  static const double silences[] = { 4.0, 7.3, 11.1, 15.6 };
+  const size_t moments = sizeof silences / sizeof silences[0];
+  rig_t plan[RIGS_MAX] = { 0 };
+  size_t late = 0;
+
+  for (size_t i = 0; i < RIGS_MAX; i++)
+    {
+      double from = silences[i % moments];
+
+      plan[i].reader_count = reader_counts[i / moments];
+      plan[i].start_span = i % 2 == 0 ? 0 : 2;
+      plan[i].silent = (span_t){ from, from + 0.6 };
+      plan[i].changes[0] = from + 0.3;
+    }
+  play (plan, RIGS_MAX, 21);
+  for (size_t i = 0; i < rig_count; i++)
+    {
+      double due = rigs[i].silent.to + CONTACT - TELLING;
+
+      ck_assert_uint_eq (rigs[i].in_force, 2);
+      if (rigs[i].in_force_at[1] <= due)
+        continue;
+      fprintf (stderr, "%zu nodes, silent at %.1f s: found at %.2f s, due at %.2f s\n",
+               rigs[i].reader_count, rigs[i].silent.from, rigs[i].in_force_at[1], due);
+      late++;
+    }
+  ck_assert_uint_eq (late, 0);
+}
+END_TEST
+
 /* A store whose answers take long gets no storm of calls, and is heard: each change is in
  * force soon after its answer can have come. */
 START_TEST (test_slow_store_is_heard_and_gets_few_calls)
@@ -488,6 +562,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_read_swallowed_by_a_silent_store_is_repeated);
   tcase_add_test (tcase, test_change_whose_answer_is_lost_is_read_again);
+  tcase_add_test (tcase, test_change_that_all_nodes_miss_is_found_by_one);
   tcase_add_test (tcase, test_slow_store_is_heard_and_gets_few_calls);
   tcase_add_test (tcase, test_silent_store_gets_few_calls);
   srunner_run_all (runner, CK_NORMAL);
