Explain requests, routes and nodes whose names are long

What operators saw: `filbertquay explain ID` said that no line names the request where its id has more than 200 bytes or a blank, and cut the names of nodes to 63 characters, so that it took the log of such a node for missing and mixed nodes up.

Change: the id is looked for as its label, values have the size of a label, node names are kept whole, counts have no bound. Requests whose ids have the same first 200 bytes are told apart by none of it.

test_names_of_any_length: "explain does not find the request" before, passes now; test_explain passes.

--- a/src/cli/event_lines.c
+++ b/src/cli/event_lines.c
@@ -21,6 +21,16 @@
   return level != NULL ? level : strstr (text, " info ");
 }
 
+static char *
+copy_string (const char *text)
+{
+  char *copy = strdup (text);
+
+  if (copy == NULL)
+    abort ();
+  return copy;
+}
+
 static bool
 parse_line (fq_event_line_t *out, char *text)
 {
@@ -40,10 +50,8 @@
     return false;
   *fields = '\0';
   fq_text_copy (out->time, sizeof out->time, time);
-  fq_text_copy (out->node, sizeof out->node, node);
-  out->fields = strdup (fields + 1);
-  if (out->fields == NULL)
-    abort ();
+  out->node = copy_string (node);
+  out->fields = copy_string (fields + 1);
   return true;
 }
 
@@ -120,7 +128,10 @@
 fq_event_lines_clear (fq_event_lines_t *lines)
 {
   for (size_t i = 0; i < lines->count; i++)
-    free (lines->lines[i].fields);
+    {
+      free (lines->lines[i].node);
+      free (lines->lines[i].fields);
+    }
   free (lines->lines);
   *lines = (fq_event_lines_t){ 0 };
 }
--- a/src/cli/event_lines.h
+++ b/src/cli/event_lines.h
@@ -10,17 +10,18 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#include "filbertquay/types.h"
+#include "util/text.h"
 
 #define FQ_EVENT_TIME_BYTES 32
+#define FQ_EVENT_VALUE_BYTES (FQ_TEXT_LABEL_MAX + 1) /* of any value, with its NUL */
 
 /** struct fq_event_line_t - one line of a node's log. */
 typedef struct
 {
   char time[FQ_EVENT_TIME_BYTES]; /* UTC; sorts as text */
-  char node[FQ_NAME_BYTES];
+  char *node;                     /* owned */
+  char *fields;                   /* "event=NAME key=value ..."; owned */
   bool warning;
-  char *fields; /* "event=NAME key=value ..."; owned */
   size_t order; /* index in reading order, for lines of the same time */
 } fq_event_line_t;
 
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -11,8 +11,6 @@
 #include "filbertquay/errors.h"
 #include "util/text.h"
 
-#define FQ_ID_BYTES 256
-#define FQ_VALUE_BYTES 128
 #define FQ_STATUS_SERVER_ERROR 500
 #define FQ_LOGS_MAX 4096
 #define FQ_CALL_DEPTH_MAX 16 /* of internal calls that are followed */
@@ -72,7 +70,7 @@
 static bool
 matches_request (const fq_event_line_t *line, const char *id, bool *is_call)
 {
-  char value[FQ_ID_BYTES];
+  char value[FQ_EVENT_VALUE_BYTES];
   size_t length = strlen (id);
 
   if (!fq_event_line_get (line, "id", value, sizeof value))
@@ -101,7 +99,7 @@
 static bool
 has_failed (const fq_event_line_t *end)
 {
-  char outcome[FQ_VALUE_BYTES];
+  char outcome[FQ_EVENT_VALUE_BYTES];
 
   fq_event_line_get (end, "outcome", outcome, sizeof outcome);
   return strcmp (outcome, "answered") != 0
@@ -117,7 +115,7 @@
   for (size_t i = 0; i < lines->count; i++)
     {
       const fq_event_line_t *line = &lines->lines[i];
-      char value[FQ_ID_BYTES];
+      char value[FQ_EVENT_VALUE_BYTES];
       bool is_call;
 
       if (!fq_event_line_is (line, "request-end") || !matches_request (line, id, &is_call)
@@ -134,9 +132,9 @@
 static void
 print_cause (const fq_event_lines_t *lines, const fq_event_line_t *end)
 {
-  char id[FQ_ID_BYTES];
-  char cause[FQ_VALUE_BYTES];
-  char service[FQ_VALUE_BYTES];
+  char id[FQ_EVENT_VALUE_BYTES];
+  char cause[FQ_EVENT_VALUE_BYTES];
+  char service[FQ_EVENT_VALUE_BYTES];
 
   for (int depth = 0; depth < FQ_CALL_DEPTH_MAX; depth++)
     {
@@ -174,7 +172,7 @@
                  const char *until)
 {
   const fq_event_line_t *last = NULL;
-  char found[FQ_VALUE_BYTES];
+  char found[FQ_EVENT_VALUE_BYTES];
 
   for (size_t i = 0; i < lines->count && strcmp (lines->lines[i].time, until) <= 0; i++)
     {
@@ -191,23 +189,21 @@
   return last;
 }
 
-/* Copies the name of the node that logged its start with @address; empty: none did. */
-static void
-find_node_name (const fq_event_lines_t *lines,
-                const char *address,
-                char *out,
-                size_t size)
+/* The name of the node that logged its start with @address; NULL: none did. */
+static const char *
+find_node_name (const fq_event_lines_t *lines, const char *address)
 {
-  char found[FQ_VALUE_BYTES];
+  char found[FQ_EVENT_VALUE_BYTES];
+  const char *node = NULL;
 
-  out[0] = '\0';
   for (size_t i = 0; i < lines->count; i++)
     {
       if (fq_event_line_is (&lines->lines[i], "start")
           && fq_event_line_get (&lines->lines[i], "address", found, sizeof found)
           && strcmp (found, address) == 0)
-        fq_text_copy (out, size, lines->lines[i].node);
+        node = lines->lines[i].node;
     }
+  return node;
 }
 
 /* Whether @node, as a gate, logged how its part in the request @id ended. */
@@ -216,7 +212,7 @@
 {
   static const char *const events[]
       = { "run-end", "run-failed", "run-aborted", "gate-refused" };
-  char found[FQ_ID_BYTES];
+  char found[FQ_EVENT_VALUE_BYTES];
 
   for (size_t i = 0; i < lines->count; i++)
     {
@@ -242,16 +238,16 @@
   for (size_t i = 0; i < lines->count; i++)
     {
       const fq_event_line_t *line = &lines->lines[i];
-      char address[FQ_VALUE_BYTES];
-      char node[FQ_NAME_BYTES];
+      char address[FQ_EVENT_VALUE_BYTES];
+      const char *node;
       bool is_call;
 
       if (!fq_event_line_is (line, "attempt") || !matches_request (line, id, &is_call)
           || is_call)
         continue;
       fq_event_line_get (line, "node", address, sizeof address);
-      find_node_name (lines, address, node, sizeof node);
-      if (node[0] == '\0')
+      node = find_node_name (lines, address);
+      if (node == NULL)
         printf ("missing: the log of node %s, which was asked at %s\n", address,
                 line->time);
       else if (!gate_logged_request (lines, node, id))
@@ -277,9 +273,9 @@
   for (size_t i = 0; i < lines->count; i++)
     {
       const fq_event_line_t *line = &lines->lines[i];
-      char address[FQ_VALUE_BYTES];
-      char id[FQ_ID_BYTES];
-      char request_id[FQ_ID_BYTES];
+      char address[FQ_EVENT_VALUE_BYTES];
+      char id[FQ_EVENT_VALUE_BYTES];
+      char request_id[FQ_EVENT_VALUE_BYTES];
       const fq_event_line_t *gate_event;
 
       fq_event_line_get (end, "id", request_id, sizeof request_id);
@@ -303,7 +299,7 @@
 explain (const fq_event_lines_t *lines, const char *id)
 {
   const fq_event_line_t *end = find_request_end (lines, id);
-  char outcome[FQ_VALUE_BYTES] = "";
+  char outcome[FQ_EVENT_VALUE_BYTES] = "";
   size_t count = 0;
 
   for (size_t i = 0; i < lines->count; i++)
@@ -373,6 +369,7 @@
   };
   static options_t options;
   fq_event_lines_t lines = { 0 };
+  fq_text_t *id = NULL;
   int rc = FQ_EXIT_FAILED;
 
   argp_parse (&argp, argc, argv, 0, NULL, &options);
@@ -390,8 +387,11 @@
              "node's log\n",
              lines.skipped);
   fq_event_lines_sort (&lines);
-  rc = explain (&lines, options.id);
+  /* Lines name the request as its label. */
+  id = fq_text_new (options.id);
+  rc = explain (&lines, fq_text_label (id));
 done:
+  fq_text_unref (id);
   fq_event_lines_clear (&lines);
   return rc;
 }
--- a/src/cli/report_day.c
+++ b/src/cli/report_day.c
@@ -16,8 +16,6 @@
 
 #define FQ_LOGS_MAX 4096
 #define FQ_SECOND_BYTES 20 /* "2026-12-04T01:02:03" with its NUL */
-#define FQ_VALUE_BYTES 128
-#define FQ_TALLY_NAMES_MAX 256
 #define FQ_STATUS_SERVER_ERROR 500
 
 /** enum format_t - output format of the report. */
@@ -35,17 +33,16 @@
   size_t path_count;
 } options_t;
 
-/*
- * Counts of names, in the order of their first occurrence. Names beyond the limit are not
- * counted.
- */
 typedef struct
 {
-  struct
-  {
-    char name[FQ_VALUE_BYTES * 2];
-    size_t count;
-  } entries[FQ_TALLY_NAMES_MAX];
+  char name[FQ_EVENT_VALUE_BYTES * 2];
+  size_t count;
+} tally_entry_t;
+
+/* Counts of names, in the order of their first occurrence. */
+typedef struct
+{
+  tally_entry_t *entries;
   size_t count;
 } tally_t;
 
@@ -72,6 +69,8 @@
 static void
 count_name (tally_t *tally, const char *name)
 {
+  tally_entry_t *grown;
+
   for (size_t i = 0; i < tally->count; i++)
     {
       if (strcmp (tally->entries[i].name, name) == 0)
@@ -80,16 +79,19 @@
           return;
         }
     }
-  if (tally->count == FQ_TALLY_NAMES_MAX)
-    return;
-  fq_text_copy (tally->entries[tally->count].name, sizeof tally->entries[0].name, name);
-  tally->entries[tally->count++].count = 1;
+  grown = realloc (tally->entries, (tally->count + 1) * sizeof *grown);
+  if (grown == NULL)
+    abort ();
+  tally->entries = grown;
+  grown[tally->count] = (tally_entry_t){ .count = 1 };
+  fq_text_copy (grown[tally->count].name, sizeof grown->name, name);
+  tally->count++;
 }
 
 static void
 count_pair (tally_t *tally, const char *first, const char *second)
 {
-  char name[FQ_VALUE_BYTES * 2];
+  char name[FQ_EVENT_VALUE_BYTES * 2];
 
   snprintf (name, sizeof name, "%s %s", first, second);
   count_name (tally, name);
@@ -119,9 +121,9 @@
 add_request_end (day_t *day, const fq_event_line_t *line)
 {
   second_counts_t *second = get_second (day, line->time);
-  char outcome[FQ_VALUE_BYTES];
-  char cause[FQ_VALUE_BYTES];
-  char route[FQ_VALUE_BYTES];
+  char outcome[FQ_EVENT_VALUE_BYTES];
+  char cause[FQ_EVENT_VALUE_BYTES];
+  char route[FQ_EVENT_VALUE_BYTES];
 
   fq_event_line_get (line, "outcome", outcome, sizeof outcome);
   fq_event_line_get (line, "cause", cause, sizeof cause);
@@ -141,8 +143,8 @@
 static void
 add_line (day_t *day, const fq_event_line_t *line)
 {
-  char first[FQ_VALUE_BYTES];
-  char second[FQ_VALUE_BYTES];
+  char first[FQ_EVENT_VALUE_BYTES];
+  char second[FQ_EVENT_VALUE_BYTES];
 
   if (fq_event_line_is (line, "request-end"))
     add_request_end (day, line);
@@ -276,6 +278,17 @@
     }
 }
 
+static void
+clear_day (day_t *day)
+{
+  free (day->outcomes.entries);
+  free (day->causes.entries);
+  free (day->refusals.entries);
+  free (day->phases.entries);
+  free (day->configs.entries);
+  free (day->seconds);
+}
+
 int
 fq_cli_report_day (int argc, char **argv)
 {
@@ -310,7 +323,7 @@
   print_day (&day, options.format);
   rc = FQ_EXIT_OK;
 done:
-  free (day.seconds);
+  clear_day (&day);
   fq_event_lines_clear (&lines);
   return rc;
 }
--- a/tests/process/test_names_of_any_length.sh
+++ b/tests/process/test_names_of_any_length.sh
@@ -62,6 +62,10 @@
 # The log has the beginning of the id, and the outcome.
 grep -q "event=request-end id=${request_id:0:200} .* outcome=answered status=200" "$work/m1.log" \
   || fail "the log does not tell what became of the request"
+explained=$("$build/filbertquay" explain "$request_id" "$work"/m[12].log) || fail "explain does not find the request"
+grep -q "^outcome: answered, status 200, .* from node $(long n 70)1$" <<<"$explained" \
+  || fail "explain does not tell what became of the request at which node"
+! grep -q '^missing:' <<<"$explained" || fail "explain takes the log of the other node for missing"
 # A change of the same document is put in force, and the long name of the other service is found.
 put_names 2 "$front"
 sleep 1
