--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -331,6 +331,8 @@
   { "Server-Limit: 26.3\r\n", FQ_RATE_STATED, 26.3, false },
   { "server-limit: 400\r\nServer-Leaving: 1\r\n", FQ_RATE_STATED, 400, true },
   { "Server-Limit: 0.5\r\n", FQ_RATE_STATED, 0.5, false },
+  { "Server-Limit: 0.50000000000000000000000000000000\r\n", FQ_RATE_STATED, 0.5, false },
+  { "Server-Limit: 00000000000000000000000000000000400\r\n", FQ_RATE_STATED, 400, false },
   { "Server-Limit: 0\r\n", FQ_RATE_STATED, 0, false },
   { "Server-Leaving: 1\r\n", FQ_RATE_UNSTATED, 0, true },
   { "Server-Leaving: 0\r\n", FQ_RATE_UNSTATED, 0, false },
