--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -137,6 +137,11 @@
   { HEARTBEAT,
     "{" ADDRESS "," INFO ",\"status\":{\"state\":\"draining\",\"sequence\":4}}", 0,
     FQ_PLATFORM_REPORT, 0, true },
+  { HEARTBEAT,
+    "{\"born\":null," ADDRESS "," INFO
+    ",\"status\":{\"state\":\"ready\",\"sequence\":4,\"warmup_left\":null}}",
+    0, FQ_PLATFORM_REPORT, 0 },
+  { DEREGISTER, "{\"born\":null}", 0, FQ_PLATFORM_DEREGISTER, 0 },
   { DEREGISTER, NULL, 0, FQ_PLATFORM_DEREGISTER, 0 },
   { DEREGISTER, "{\"born\":99}", 0, FQ_PLATFORM_DEREGISTER, 99 },
   { DEREGISTER, "{}", 0, FQ_PLATFORM_DEREGISTER, 0 },
