Confirm a server by its health check in the first seconds of a node

Cause: the second report after a start of the node confirmed the server unless its health check had already said no. Both reports may be from before the start, and they come faster than the check is answered; its answer was not looked at then.

Change: for 6 s after its start, the longest that a report is late, a node takes no report for a confirmation, and asks the health check again at each. The flag "unhealthy" has no use any more.

--- a/models/drain_kept.pml
+++ b/models/drain_kept.pml
@@ -1,15 +1,12 @@
 /*
  * Model of how a node drains the server beside it, as in src/mesh/server_state.c.
  *
- * A server reports that it is ready, then that it drains; it sends a report when the one
+ * A server reports twice that it is ready, then that it drains; it sends a report when the one
  * before has been answered or has failed. A report may be delivered once more, later, also to
  * a node that started after it was sent. The health check of the server fails as soon as the
  * server drains. The node acknowledges the drain. It may restart at any time, which clears its
  * memory.
  *
- * The model has one ready report only: the node would accept a second late one with another
- * sequence number, so that a server whose health check fails wrongly gets back into use.
- *
  * Checked: no request starts at the server once its drain was acknowledged and has ended.
  *
  * Faulty variants, in each of which this is violated:
@@ -17,6 +14,7 @@
  * -DPROBE_TAKES_ANY: after a restart the node takes the server for ready whatever its health
  *   check answers.
  * -DBELIEVE_FIRST: the node accepts the first report after its start without a health check.
+ * -DBELIEVE_SECOND: it accepts the second one so.
  */
 #define READY 1
 #define DRAINING 2
@@ -31,8 +29,7 @@
 bool drain_acknowledged = false;
 bool drain_ended = false;       /* the drain period after the acknowledgement has ended */
 bool drain_recorded = false;    /* the node has recorded the drain */
-bool confirmed = false;         /* the node has checked the server's health, or received
-                                 * two reports */
+bool confirmed = false;         /* the node has checked the server's health */
 
 inline receive_report (number, draining)
 {
@@ -41,6 +38,9 @@
   :: number <= newest_accepted -> skip
 #endif
   :: else ->
+#ifdef BELIEVE_SECOND
+     confirmed = confirmed || newest_accepted > 0;
+#endif
      newest_accepted = number;
      if
      :: drain_recorded && draining -> drain_acknowledged = true
@@ -71,14 +71,15 @@
 active proctype server ()
 {
   atomic { newest_sent = 1; receive_report (1, false) };
+  atomic { newest_sent = 2; receive_report (2, false) };
   server_draining = true;
   /* The report of the drain is repeated until it is acknowledged. Each repeat has a higher
-   * sequence number; the model reuses 2, so newest_accepted has to forget it. */
+   * sequence number; the model reuses 3, so newest_accepted has to forget it. */
   do
   :: atomic {
-       !drain_acknowledged -> newest_sent = 2;
-       newest_accepted = (newest_accepted > 1 -> 1 : newest_accepted);
-       receive_report (2, true)
+       !drain_acknowledged -> newest_sent = 3;
+       newest_accepted = (newest_accepted > 2 -> 2 : newest_accepted);
+       receive_report (3, true)
      }
   :: drain_acknowledged -> break
   od
@@ -94,7 +95,8 @@
      atomic {
        if
        :: newest_sent >= 1 -> receive_report (1, false)
-       :: newest_sent >= 2 -> receive_report (2, true)
+       :: newest_sent >= 2 -> receive_report (2, false)
+       :: newest_sent >= 3 -> receive_report (3, true)
        :: else -> skip
        fi;
        copies++
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -237,7 +237,7 @@
         fq_server_state_probe_succeeded (mesh, event->probe.instance,
                                          &event->probe.notice);
       else if (event->probe.outcome == FQ_PROBE_UNHEALTHY)
-        fq_server_state_probe_contradicted (mesh, event->probe.instance);
+        fq_server_candidate_probed (mesh, event->probe.instance, false);
       fq_server_crash_probed (mesh, event->probe.outcome, event->probe.instance);
       break;
     case FQ_MESH_EVENT_CONFIG:
--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -198,7 +198,6 @@
   uint32_t rate_unstated;   /* answers since then that did not */
   bool probed;              /* a probe for the server's health and instance was sent */
   bool confirmed; /* the server is known to be ready: by a probe or a second report */
-  bool unhealthy; /* its health check contradicted its reports */
   fq_time_t answered_at; /* when the server answered a run last */
   fq_time_t drain_until; /* 0: it does not drain */
   fq_timer_entry_t timer;
@@ -482,10 +481,6 @@
                                       fq_text_t *instance,
                                       const fq_server_notice_t *notice);
 
-/** fq_server_state_probe_contradicted() - @instance answered a health check, but is not
- * healthy. */
-void fq_server_state_probe_contradicted (fq_mesh_t *mesh, const fq_text_t *instance);
-
 /** fq_server_state_accept_report() - put in force what @report of the server says. */
 void fq_server_state_accept_report (fq_mesh_t *mesh, const fq_server_report_t *report);
 
--- a/src/mesh/server_identity.c
+++ b/src/mesh/server_identity.c
@@ -92,7 +92,6 @@
   fq_server_clear_candidate (mesh);
   gate->returned_at = 0;
   gate->drain_until = 0;
-  gate->unhealthy = false;
   fq_server_notice_forget (mesh);
   fq_server_state_apply_recalled (mesh);
 }
@@ -134,7 +133,6 @@
   if (returned)
     gate->returned_at = mesh->now;
   gate->confirmed = healthy;
-  gate->unhealthy = !healthy;
   fq_server_state_accept_report (mesh, &report);
   fq_server_report_clear (&report);
 }
--- a/src/mesh/server_state.c
+++ b/src/mesh/server_state.c
@@ -4,10 +4,9 @@
  *
  * A server process that began to drain never becomes ready again; reports that arrive
  * later, possibly delayed or reordered, do not change that. After a restart the node no
- * longer knows that its server drains, and the first report that it receives may be a
- * delayed one. It therefore confirms that report with a health check, or by a second
- * report, before the server counts as ready. Where the health check contradicts the
- * reports, they count only when none can be a delayed one any more.
+ * longer knows that its server drains, and the reports that it receives may be delayed
+ * ones. It therefore confirms them with a health check before the server counts as ready.
+ * Without one that says so, they count only when none can be a delayed one any more.
  */
 #include "mesh/mesh_private.h"
 
@@ -195,18 +194,11 @@
              && fq_config_find_service (mesh->config, mesh->gate.server.service) != NULL);
 }
 
-/* Whether the health check says that the server is not ready, and its reports that say
- * otherwise may be from before the start of this node. Asks it again. */
+/* Whether a report that arrives now may be from before the start of this node. */
 static bool
-is_contradicted (fq_mesh_t *mesh)
+may_be_from_before (const fq_mesh_t *mesh)
 {
-  fq_gate_t *gate = &mesh->gate;
-
-  if (gate->confirmed || !gate->unhealthy
-      || mesh->now - mesh->started >= FQ_REPORTS_LATE_US)
-    return false;
-  gate->probed = false;
-  return true;
+  return mesh->now - mesh->started < FQ_REPORTS_LATE_US;
 }
 
 /* Takes the start time of the server from its report; a health check does not tell it,
@@ -348,11 +340,11 @@
       return;
     }
   /* The first report that this node gets needs a health check to confirm it, also when
-   * one was sent before. Any later report confirms the server, also that of a new
-   * process. */
-  if (is_first)
+   * one was sent before, and so does one that may be from before its start. Any later
+   * report confirms the server, also that of a new process. */
+  if (is_first || may_be_from_before (mesh))
     gate->probed = false;
-  else if (!is_contradicted (mesh) && is_service_known (mesh))
+  else if (is_service_known (mesh))
     gate->confirmed = true;
   fq_server_state_accept_report (mesh, report);
 }
@@ -437,14 +429,6 @@
     fq_server_notice_record (mesh, notice);
 }
 
-void
-fq_server_state_probe_contradicted (fq_mesh_t *mesh, const fq_text_t *instance)
-{
-  fq_server_candidate_probed (mesh, instance, false);
-  if (fq_text_equal (mesh->gate.server.instance, instance))
-    mesh->gate.unhealthy = true;
-}
-
 void
 fq_server_state_probe_succeeded (fq_mesh_t *mesh,
                                  fq_text_t *instance,
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -78,6 +78,7 @@
   bool service_unset;              /* its settings name no service */
   bool server_down;                /* its server takes no connections */
   bool server_silent;              /* its server answers no probes */
+  bool probe_held;                 /* its server answers probes later */
   unsigned int generation;         /* number of its start */
   uint64_t sequence;
 } fleet_node_t;
@@ -305,7 +306,7 @@
   fleet_node_t *at = &fleet->nodes[node];
   fq_mesh_event_t event = { .kind = FQ_MESH_EVENT_PROBE };
 
-  if (!at->probed)
+  if (!at->probed || at->probe_held)
     return;
   at->probed = false;
   event.probe.instance = fleet_text (at->instance);
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -156,6 +156,68 @@
 }
 END_TEST
 
+/* Guards against review/12: as above, but both reports come before the health check is
+ * answered, or it never is; then the second one made the server ready for good. */
+START_TEST (test_late_reports_before_the_health_check_are_not_trusted)
+{
+  static const uint32_t late_ms[][2] = { { 100, 100 }, { 300, 500 }, { 2000, 5500 } };
+  bool answered = _i < 3;
+
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    fleet_report (&fleet, node, "i-1", 1000, true);
+  fleet_advance (&fleet, 300);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    fleet_kill (&fleet, node);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    {
+      fleet.nodes[node].probe_held = answered;
+      fleet.nodes[node].server_silent = !answered;
+      fleet_start (&fleet, node);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      fleet_advance (&fleet, late_ms[_i % 3][i] - (i == 0 ? 0 : late_ms[_i % 3][0]));
+      for (size_t node = 1; node < FLEET_NODES; node++)
+        report_late (node, (uint64_t)i + 1);
+    }
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    {
+      fleet.nodes[node].probe_held = false;
+      fleet_answer_probe (&fleet, node);
+    }
+  fleet_advance (&fleet, 10);
+  fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
+  fleet_advance (&fleet, 100);
+  ck_assert_uint_eq (fleet.run_count, 0);
+}
+END_TEST
+
+/* Guards against review/12: a server whose first health check after a restart is not
+ * answered in time is asked again with the next report, and used. */
+START_TEST (test_unanswered_health_check_is_repeated)
+{
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    fleet_kill (&fleet, node);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    {
+      fleet.nodes[node].server_silent = true;
+      fleet_start (&fleet, node);
+    }
+  fleet_advance (&fleet, 300);
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    fleet_report (&fleet, node, "i-1", 1000, false);
+  fleet_advance (&fleet, 1000);
+  for (size_t node = 0; node < FLEET_NODES; node++)
+    fleet.nodes[node].server_silent = false;
+  for (size_t node = 1; node < FLEET_NODES; node++)
+    fleet_report (&fleet, node, "i-1", 1000, false);
+  fleet_advance (&fleet, 10);
+  fleet_send_request (&fleet, 0, "/safe/1", "r1", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_uint_eq (fleet.run_count, 1);
+}
+END_TEST
+
 /* A server whose health check says no although it works is used again some seconds after
  * the restart of its node, when no report can be late any more. */
 START_TEST (test_server_with_bad_health_check_is_used_after_a_restart)
@@ -542,6 +604,9 @@
   tcase_add_test (tcase, test_delayed_report_to_restarted_node_is_not_trusted);
   tcase_add_loop_test (
       tcase, test_late_reports_after_restart_of_all_nodes_are_not_trusted, 0, 3);
+  tcase_add_loop_test (tcase, test_late_reports_before_the_health_check_are_not_trusted,
+                       0, 6);
+  tcase_add_test (tcase, test_unanswered_health_check_is_repeated);
   tcase_add_test (tcase, test_server_with_bad_health_check_is_used_after_a_restart);
   tcase_add_test (tcase,
                   test_first_report_to_restarted_node_is_confirmed_by_health_check);
