Use no connection to a server again after a long body

Cause: a connection was used again once the kernel had taken the last request, of which the server may have read the first part only.

Change: a connection is not used again after a body of more than 16 KiB. It costs a connection within the machine for each such upload.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -12,6 +12,8 @@
 /* Idle connections are closed this long before the Keep-Alive timeout of the server. */
 #define FQ_KEEP_ALIVE_MARGIN_MS 1500
 #define FQ_STATUS_SUCCESS_MAX 299
+/* A server may answer before it has read a body that is longer, and read on later. */
+#define FQ_LONG_BODY_BYTES 16384
 
 /* A connection and its current call, if any. */
 struct fq_http_call
@@ -27,7 +29,8 @@
   size_t receiving_bytes;     /* of the answer's body; counted by the client */
   unsigned int other_answers; /* answers that did not match the call */
   bool answer_started;
-  bool output_sent;
+  bool output_sent; /* the kernel has taken it; the server may not have read it yet */
+  bool has_long_body;
 };
 
 struct fq_http_client
@@ -127,7 +130,9 @@
 {
   const fq_http_call_handlers_t *handlers = call->handlers;
   void *context = call->context;
-  bool keep_alive = call->reader.keep_alive && call->output_sent && !connection_unusable;
+  /* The next request must not wait behind a body that the server reads later. */
+  bool keep_alive = call->reader.keep_alive && call->output_sent && !call->has_long_body
+                    && !connection_unusable;
   fq_http_message_t *answer = fq_http_reader_take (&call->reader);
 
   count_receiving (call, 0);
@@ -362,6 +367,7 @@
   call->answer_started = false;
   call->other_answers = 0;
   call->output_sent = false;
+  call->has_long_body = fq_http_message_body_size (request) > FQ_LONG_BODY_BYTES;
   call->reader.answers_head_request = strcmp (request->method, "HEAD") == 0;
   fq_list_remove (&call->link);
   fq_list_append (&client->calls, &call->link);
--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -141,8 +141,9 @@
     run_for (WAIT_STEP_SECONDS);
 }
 
+/* With a body of @body_bytes. */
 static void
-start_call (fq_id_t run, const char *id, bool idempotent)
+start_upload (fq_id_t run, const char *id, bool idempotent, size_t body_bytes)
 {
   fq_mesh_effect_t effect = { .kind = FQ_MESH_EFFECT_SERVER_CALL };
 
@@ -152,6 +153,14 @@
   effect.server_call.message = fq_http_message_new ();
   strcpy (effect.server_call.message->method, idempotent ? "GET" : "POST");
   effect.server_call.message->target = strdup ("/a/1");
+  if (body_bytes > 0)
+    {
+      char *body = calloc (body_bytes, 1);
+
+      ck_assert_int_eq (fq_blob_new (&effect.server_call.message->body, body, body_bytes),
+                        0);
+      free (body);
+    }
   fq_http_message_add (effect.server_call.message, "X-Attempt-Id", id);
   effect.server_call.request_id = fq_text_new (id);
   effect.server_call.instance = fq_text_new ("i-1");
@@ -163,6 +172,12 @@
   fq_text_unref (effect.server_call.caller);
 }
 
+static void
+start_call (fq_id_t run, const char *id, bool idempotent)
+{
+  start_upload (run, id, idempotent, 0);
+}
+
 /* Waits for the head of a request on a new connection or on @kept (-1: none). Return: the
  * connection. */
 static int
@@ -334,6 +349,53 @@
 }
 END_TEST
 
+/** early_answer_t - an answer to an upload of which the server has not read all. */
+typedef struct
+{
+  const char *status;
+  const char *field;
+  size_t body_bytes;
+} early_answer_t;
+
+static const early_answer_t early_answers[] = {
+  { "200 OK", "X-Response-Signature: s", 17000 },
+  { "200 OK", "X-Response-Signature: s", 360000 },
+  { "400 Bad Request", "X-Not-Executed: 1", 17000 },
+  { "500 Internal Server Error", "X-More: 1", 360000 },
+  { "503 Service Unavailable", "X-Not-Executed: 1", 360000 },
+};
+
+/* Guards against review/10: the server answers before it has read a long body, and reads
+ * on later; the next request waited behind the rest of the body, and reached the server
+ * long after its drain. */
+START_TEST (test_no_request_waits_behind_a_body_that_is_not_read)
+{
+  const early_answer_t *early = &early_answers[_i];
+  char answer[ANSWER_BYTES];
+  char part[REQUEST_BYTES];
+  int first;
+  int second = -1;
+
+  start_upload (1, "r1", false, early->body_bytes);
+  first = await_request (-1);
+  (void)!recv (first, part, sizeof part, MSG_DONTWAIT);
+  run_for (STEP_SECONDS);
+  format_answer (answer, early->status, "r1", early->field);
+  write_text (first, answer, strlen (answer));
+  run_until (&results[1].ended);
+  ck_assert (results[1].answered);
+  start_call (2, "r2", false);
+  for (int step = 0; second < 0 && step < WAIT_STEPS; step++)
+    {
+      run_for (WAIT_STEP_SECONDS);
+      second = accept (listener, NULL, NULL);
+    }
+  ck_assert_msg (second >= 0, "the request waits on the first connection");
+  close (first);
+  close (second);
+}
+END_TEST
+
 /* What comes before an answer that breaks off. */
 typedef enum
 {
@@ -496,6 +558,8 @@
   tcase_add_loop_test (repeats, test_repeated_refusal_is_no_answer_to_the_next_request, 0,
                        REPEATS);
   tcase_add_test (repeats, test_repeated_refusal_is_no_answer_to_a_health_check);
+  tcase_add_loop_test (repeats, test_no_request_waits_behind_a_body_that_is_not_read, 0,
+                       (int)(sizeof early_answers / sizeof early_answers[0]));
   tcase_add_loop_test (repeats, test_health_check_that_breaks_off_is_unanswered, 0,
                        (int)sizeof whole_answer);
   tcase_add_test (repeats, test_answer_with_a_large_head_is_an_answer);
