Keep the connection to a server that reads slowly

Cause: connections that a node opens have a TCP_USER_TIMEOUT of 2.5 s, so that a VM that has gone is noticed; Linux applies it to a peer that announces no window, too.

Change: connections to the server have none. It is on the same machine, so nothing but its end cuts it off, and each call has its deadline.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -336,6 +336,8 @@
       free (call);
       return error;
     }
+  if (client->options.peer_is_local)
+    fq_stream_allow_unread_output (call->stream);
   call->client = client;
   fq_list_init (&call->link);
   fq_http_reader_init (&call->reader, FQ_HTTP_ANSWERS, &client->options.limits);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -58,8 +58,9 @@
   /* Bytes of bodies that are being received, over all calls; beyond it the call with the
    * largest body fails. 0: no limit */
   size_t receiving_bytes_max;
-  uint32_t idle_ms; /* idle connections are closed after it, or shortly before the
-                       Keep-Alive timeout of the server if that is earlier; 0: never */
+  uint32_t idle_ms;   /* idle connections are closed after it, or shortly before the
+                         Keep-Alive timeout of the server if that is earlier; 0: never */
+  bool peer_is_local; /* it can't be cut off, so it may read nothing for any time */
 } fq_http_client_options_t;
 
 #define FQ_HTTP_CLIENT_OPTIONS_VERSION 1
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -450,6 +450,12 @@
   return FQ_OK;
 }
 
+void
+fq_stream_allow_unread_output (fq_stream_t *stream)
+{
+  set_socket_option (stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+}
+
 int
 fq_stream_accept (fq_stream_t **out,
                   fq_io_t *io,
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -139,6 +139,10 @@
                        const fq_stream_handlers_t *handlers,
                        void *context);
 
+/** fq_stream_allow_unread_output() - keep the connection while the peer, which is there,
+ * takes no output, however long that is. */
+void fq_stream_allow_unread_output (fq_stream_t *stream);
+
 /**
  * fq_stream_accept() - create a stream for the accepted socket @fd.
  * @fd: owned by the stream; closed also when an error is returned
--- a/src/node/server_calls.c
+++ b/src/node/server_calls.c
@@ -124,6 +124,7 @@
     options.limits.head_bytes = memory_bytes / FQ_ANSWER_HEAD_MEMORY_DIVISOR;
   options.limits.body_bytes = memory_bytes / FQ_ANSWER_MEMORY_DIVISOR;
   options.receiving_bytes_max = memory_bytes / FQ_ANSWERS_MEMORY_DIVISOR;
+  options.peer_is_local = true;
   if (calls == NULL)
     return fq_error_set (FQ_ERROR_CLASS_NET, FQ_ERROR_NOMEM,
                          "no memory for server calls");
--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -18,6 +18,7 @@
 #define WAIT_STEPS 400
 #define WAIT_STEP_SECONDS 0.005
 #define STEP_SECONDS 0.02
+#define TIME_LIMIT_MS 1000
 #define RUNS_MAX 8
 #define REQUEST_BYTES 4096
 #define ANSWER_BYTES 4096
@@ -143,12 +144,16 @@
 
 /* With a body of @body_bytes. */
 static void
-start_upload (fq_id_t run, const char *id, bool idempotent, size_t body_bytes)
+start_upload (fq_id_t run,
+              const char *id,
+              bool idempotent,
+              size_t body_bytes,
+              uint32_t remaining_ms)
 {
   fq_mesh_effect_t effect = { .kind = FQ_MESH_EFFECT_SERVER_CALL };
 
   effect.server_call.run = run;
-  effect.server_call.remaining_ms = 1000;
+  effect.server_call.remaining_ms = remaining_ms;
   effect.server_call.idempotent = idempotent;
   effect.server_call.message = fq_http_message_new ();
   strcpy (effect.server_call.message->method, idempotent ? "GET" : "POST");
@@ -175,7 +180,7 @@
 static void
 start_call (fq_id_t run, const char *id, bool idempotent)
 {
-  start_upload (run, id, idempotent, 0);
+  start_upload (run, id, idempotent, 0, TIME_LIMIT_MS);
 }
 
 /* Waits for the head of a request on a new connection or on @kept (-1: none). Return: the
@@ -376,7 +381,7 @@
   int first;
   int second = -1;
 
-  start_upload (1, "r1", false, early->body_bytes);
+  start_upload (1, "r1", false, early->body_bytes, TIME_LIMIT_MS);
   first = await_request (-1);
   (void)!recv (first, part, sizeof part, MSG_DONTWAIT);
   run_for (STEP_SECONDS);
@@ -396,6 +401,39 @@
 }
 END_TEST
 
+/* Guards against review/9: a server that reads nothing of an upload for some seconds, and
+ * then reads on, counted as gone, and its client got 502. */
+START_TEST (test_server_that_reads_slowly_is_not_given_up)
+{
+  static const double pauses[] = { 1, 2.9, 4.5 };
+  const size_t body_bytes = 8u << 20;
+  char part[REQUEST_BYTES];
+  char answer[ANSWER_BYTES];
+  size_t received = 0;
+  int fd;
+
+  start_upload (1, "r1", false, body_bytes, 8000);
+  fd = await_request (-1);
+  run_for (pauses[_i]);
+  ck_assert_msg (!results[1].ended, "failure %d", results[1].failure);
+  for (int step = 0; received < body_bytes && step < WAIT_STEPS; step++)
+    {
+      ssize_t size;
+
+      run_for (WAIT_STEP_SECONDS);
+      while ((size = recv (fd, part, sizeof part, MSG_DONTWAIT)) > 0)
+        received += (size_t)size;
+    }
+  ck_assert_uint_ge (received + REQUEST_BYTES, body_bytes);
+  format_answer (answer, "200 OK", "r1", "X-Response-Signature: s");
+  write_text (fd, answer, strlen (answer));
+  run_until (&results[1].ended);
+  ck_assert (results[1].answered);
+  ck_assert_uint_eq (results[1].status, 200);
+  close (fd);
+}
+END_TEST
+
 /* What comes before an answer that breaks off. */
 typedef enum
 {
@@ -558,6 +596,8 @@
   tcase_add_loop_test (repeats, test_repeated_refusal_is_no_answer_to_the_next_request, 0,
                        REPEATS);
   tcase_add_test (repeats, test_repeated_refusal_is_no_answer_to_a_health_check);
+  tcase_add_loop_test (repeats, test_server_that_reads_slowly_is_not_given_up, 0, 3);
+  tcase_set_timeout (repeats, 20);
   tcase_add_loop_test (repeats, test_no_request_waits_behind_a_body_that_is_not_read, 0,
                        (int)(sizeof early_answers / sizeof early_answers[0]));
   tcase_add_loop_test (repeats, test_health_check_that_breaks_off_is_unanswered, 0,
