--- a/standins/endless.c
+++ b/standins/endless.c
@@ -1,11 +1,12 @@
 /**
  * DOC: Test double of a server that answers without end. It sends no reports.
  *
- * usage: fq-standin-endless IP:PORT
+ * usage: fq-standin-endless IP:PORT INSTANCE
  *
  * A request whose target ends with "endless-head", "endless-body", "endless-chunks",
  * "endless-trailers" or "endless-interim" gets that without end, until the connection is
- * closed; any other request gets a complete answer.
+ * closed; any other request gets a complete answer, which names INSTANCE, as the answer
+ * to a health check has to.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -23,6 +24,8 @@
 #define REQUEST_BYTES 16384
 #define ID_FIELD "X-Attempt-Id: "
 
+static const char *instance;
+
 typedef struct
 {
   const char *name;
@@ -82,8 +85,9 @@
   id = id == NULL ? "" : id + strlen (ID_FIELD);
   snprintf (answer, sizeof answer,
             "HTTP/1.1 200 OK\r\n" ID_FIELD
-            "%.*s\r\nX-Response-Signature: s\r\nContent-Length: 4\r\n\r\nfine",
-            (int)strcspn (id, "\r"), id);
+            "%.*s\r\nX-Instance-Id: %s\r\nX-Response-Signature: s\r\n"
+            "Content-Length: 4\r\n\r\nfine",
+            (int)strcspn (id, "\r"), id, instance);
   return send_text (fd, answer);
 }
 
@@ -118,15 +122,16 @@
   int listener = socket (AF_INET, SOCK_STREAM, 0);
   int fd;
 
-  if (argc != 2 || fq_address_parse (&address, argv[1]) < 0
+  if (argc != 3 || fq_address_parse (&address, argv[1]) < 0
       || setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0
       || bind (listener, (struct sockaddr *)&address, sizeof address) != 0
       || listen (listener, SOMAXCONN) != 0)
     {
-      fprintf (stderr, "usage: fq-standin-endless IP:PORT (%s)\n",
+      fprintf (stderr, "usage: fq-standin-endless IP:PORT INSTANCE (%s)\n",
                fq_error_last ()->message);
       return EXIT_FAILURE;
     }
+  instance = argv[2];
   while ((fd = accept (listener, NULL, NULL)) >= 0)
     {
       pthread_t thread;
--- a/tests/process/test_endless_answers_fill_no_memory.sh
+++ b/tests/process/test_endless_answers_fill_no_memory.sh
@@ -12,7 +12,7 @@
 # The server of machine 2 answers here; another process reports for it.
 write_settings 2 back
 start m2 "$build/filbertquay-node" "$work/m2.json"
-start e2 "$build/fq-standin-endless" "$(ip 2):$server_port"
+start e2 "$build/fq-standin-endless" "$(ip 2):$server_port" i-2
 start s2 "$build/fq-standin-server" "$(ip 2):$((base + 8))" "$(ip 2):$reports_port" back i-2 20 \
   "$(ip 2):$server_port"
 wait_for 5 serves_from 1 || fail "the service is not served"
