Free what was sent of answers that clients read slowly

One cause of three: a body counted, and was held, whole until its last byte was sent, and 4 MiB of a socket's buffer came on top, as the kernel lets it grow.

Change: of a connection that takes no more at present, what was sent of the first body is freed once that is half of it (the rest is copied, so each byte at most once for all copies together); the buffer of accepted connections is 128 KiB.

--- a/src/io/output.c
+++ b/src/io/output.c
@@ -134,6 +134,26 @@
   return sent;
 }
 
+void
+fq_output_free_sent (fq_output_t *output)
+{
+  fq_list_t *link = fq_list_first (&output->bodies);
+  output_body_t *first;
+  fq_blob_t *rest;
+
+  if (link == NULL)
+    return;
+  first = FQ_LIST_ENTRY (link, output_body_t, link);
+  if (first->body->references > 1 || first->sent < first->body->size - first->sent
+      || fq_blob_new (&rest, first->body->data + first->sent,
+                      first->body->size - first->sent)
+             < 0)
+    return;
+  fq_blob_unref (first->body);
+  first->body = rest;
+  first->sent = 0;
+}
+
 void
 fq_output_clear (fq_output_t *output)
 {
--- a/src/io/output.h
+++ b/src/io/output.h
@@ -37,8 +37,8 @@
   return fq_buffer_size (&output->bytes) + output->body_bytes;
 }
 
-/** fq_output_held() - memory that the output takes, in bytes; the whole size of bodies
- * that were sent in part. */
+/** fq_output_held() - memory that the output takes, in bytes, with what
+ * fq_output_free_sent() has left of bodies that were sent in part. */
 size_t fq_output_held (const fq_output_t *output);
 
 /**
@@ -48,6 +48,10 @@
  */
 ssize_t fq_output_send (fq_output_t *output, int fd);
 
+/** fq_output_free_sent() - free what was sent of the first body, if that is half of it or
+ * more and nobody else holds the body. */
+void fq_output_free_sent (fq_output_t *output);
+
 /** fq_output_clear() - drop all output; the object stays usable. */
 void fq_output_clear (fq_output_t *output);
 
--- a/src/io/stream.c
+++ b/src/io/stream.c
@@ -25,6 +25,9 @@
 /* TCP_USER_TIMEOUT: how long sent data may stay unacknowledged. */
 #define FQ_USER_TIMEOUT_CONNECT_MS 2500
 #define FQ_USER_TIMEOUT_ACCEPT_MS 10000 /* longer, as the peer may read slowly */
+/* Of accepted connections: what a slow peer does not read waits here, where what was sent
+ * is freed, and not in the kernel, whose buffers may grow to megabytes. */
+#define FQ_SEND_BUFFER_BYTES 131072
 #define FQ_LISTEN_BACKLOG 1024
 #define FQ_ACCEPTS_PER_ITERATION 64
 #define FQ_TCP_FLAGS_OFFSET 13 /* in the header, RFC 9293 */
@@ -186,6 +189,7 @@
       if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         {
           ev_io_start (stream->io->loop, &stream->writable);
+          fq_output_free_sent (&stream->output);
           set_blocked (stream, true);
           fq_shedding_update (stream);
           return;
@@ -467,6 +471,7 @@
     return FQ_ERROR_NOMEM;
   (*out)->accepted = true;
   set_socket_options (fd, FQ_USER_TIMEOUT_ACCEPT_MS);
+  set_socket_option (fd, SOL_SOCKET, SO_SNDBUF, FQ_SEND_BUFFER_BYTES);
   ev_io_start (io->loop, &(*out)->readable);
   return FQ_OK;
 }
