Cut no client that reads steadily, and refuse what memory can't bear

Change: a client that has read some 64 KiB of its answer of late does not stall. As a request without a body comes while more than half of the memory is held, clients that stall end first; if that is not enough, the request gets 503 with Retry-After and never runs (request-end cause=no-memory).

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -43,7 +43,8 @@
   { "gate-lost", "the node beside the server was lost" },
   { "broken-answer", "what came from the server was no valid answer to it" },
   { "crashes-servers", "it ran when servers crashed, several times" },
-  { "no-memory", "the bodies at the gate left no memory for this one" },
+  { "no-memory", "what the node held for others, bodies or answers that clients have "
+                 "not read, left no memory for this one" },
   { "isolated", "it ran when servers crashed, and so did another one that was running" },
   { "timeout", "its time was over before an answer came" },
   { "client-gone", "its client left before the answer" },
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -184,6 +184,14 @@
          && !fq_stream_has_output (connection->stream);
 }
 
+static void
+make_room_for_request (connection_t *connection)
+{
+  const fq_room_t room = { .percent = connection->server->options.memory_percent };
+
+  (void)fq_stream_make_room (connection->stream, &room);
+}
+
 /* The handler may reply before it returns. fq_http_server_reply() then leaves the next
  * request to this loop, to avoid recursion. */
 static void
@@ -227,6 +235,7 @@
           break;
         }
       connection->continue_sent = false;
+      make_room_for_request (connection);
       dispatch_request (connection);
       if (connection->request_id == 0 && connection->stream == NULL)
         {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -45,6 +45,9 @@
   /* Also of those that wait for their clients to close them. One more takes the place of
    * a connection that is idle or stalls, or is closed on accept if there is none. */
   size_t connections_max;
+  /* Share of the memory limit. As a request comes while more is held, clients that stall
+   * end; the handler sees what can't be freed so. */
+  unsigned int memory_percent;
 } fq_http_server_options_t;
 
 #define FQ_HTTP_SERVER_OPTIONS_VERSION 1
@@ -52,7 +55,7 @@
   {                                                                                      \
     .version = FQ_HTTP_SERVER_OPTIONS_VERSION,                                           \
     .limits = { .head_bytes = 16384, .body_bytes = 1048576 }, .head_timeout_ms = 3000,   \
-    .idle_timeout_ms = 15000, .connections_max = 256                                     \
+    .idle_timeout_ms = 15000, .connections_max = 256, .memory_percent = 100              \
   }
 
 /**
--- a/src/io/shedding.c
+++ b/src/io/shedding.c
@@ -25,6 +25,8 @@
 #define FQ_LINGER_MIN_US (200 * FQ_MICROSECONDS_PER_MS)
 #define FQ_MOVED_HALF_LIFE_US (500 * FQ_MICROSECONDS_PER_MS)
 #define FQ_STALLED_BYTES 1024 /* peers that moved less of late are equal */
+/* A peer that read as much of late does not stall; see FQ_MOVED_HALF_LIFE_US. */
+#define FQ_STEADY_BYTES 65536
 /* After a search in vain. */
 #define FQ_SEARCH_INTERVAL_US (50 * FQ_MICROSECONDS_PER_MS)
 
@@ -163,10 +165,18 @@
   return stream->holding_since != 0 && !stream->makes_room;
 }
 
+/* Whether the peer reads its output slowly, but does. */
+static bool
+reads_steadily (const fq_stream_t *stream, fq_time_t now)
+{
+  return fq_stream_has_output (stream) && recent_bytes (stream, now) >= FQ_STEADY_BYTES;
+}
+
 static bool
 stalls (const fq_stream_t *stream, fq_time_t now)
 {
   return holds_much (stream) && !fq_waiting_to_begin (stream)
+         && !reads_steadily (stream, now)
          && (stream->pending || now - stream->holding_since >= FQ_STALLED_AFTER_US);
 }
 
--- a/src/mesh/entry.c
+++ b/src/mesh/entry.c
@@ -249,6 +249,17 @@
                               fq_gate_cause_name (FQ_GATE_CAUSE_CRASHES_SERVERS));
 }
 
+/* Whether answers that clients have not read leave no memory for a further one. A body
+ * that has arrived had to find room already. */
+static bool
+is_memory_short (const fq_mesh_t *mesh, const fq_mesh_request_t *request)
+{
+  uint64_t limit = mesh->params.new_request_bytes;
+
+  return limit != 0 && mesh->memory_held > limit
+         && fq_http_message_body_size (request->message) == 0;
+}
+
 void
 fq_entry_receive (fq_mesh_t *mesh, const fq_mesh_request_t *request)
 {
@@ -279,6 +290,12 @@
       fq_exchange_reply_local (mesh, request->id, FQ_STATUS_NOT_FOUND, 0, "no-route");
       return;
     }
+  if (is_memory_short (mesh, request))
+    {
+      refuse_before_exchange (mesh, request,
+                              fq_gate_cause_name (FQ_GATE_CAUSE_NO_MEMORY));
+      return;
+    }
   exchange = new_exchange (mesh, request, route);
   if (fq_crash_suspects_is_refused (&mesh->crash_suspects, exchange->fingerprint))
     refuse_suspect (mesh, exchange);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -62,7 +62,7 @@
   FQ_GATE_CAUSE_RATE_LIMITED, /* its wait for the server's rate limit was or would be too
                                * long */
   FQ_GATE_CAUSE_ISOLATED,     /* another request that may crash servers was running */
-  FQ_GATE_CAUSE_NO_MEMORY,    /* the bodies at the gate leave no memory for this one */
+  FQ_GATE_CAUSE_NO_MEMORY,    /* bodies and answers leave no memory for this one */
   FQ_GATE_CAUSE_COUNT,
 } fq_gate_cause_t;
 
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -26,10 +26,12 @@
   uint32_t grace_ms;           /* from the stop signal until the process is killed */
   double retry_ratio; /* retries allowed, as a share of the first arrivals at a service's
                          gates */
-  uint32_t retry_window_ms; /* over which retries are counted; not 0 */
-  uint64_t body_bytes_max;  /* of all requests at the gate together; 0: no limit */
-  uint64_t memory_bytes;    /* that the process may hold altogether; 0: no limit */
-  double retry_slack;       /* retries allowed in addition to the share, over all nodes */
+  uint32_t retry_window_ms;   /* over which retries are counted; not 0 */
+  uint64_t body_bytes_max;    /* of all requests at the gate together; 0: no limit */
+  uint64_t memory_bytes;      /* that the process may hold altogether; 0: no limit */
+  uint64_t new_request_bytes; /* with more than this held, no request without a body
+                                 begins, as its answer may be large; 0: no limit */
+  double retry_slack; /* retries allowed in addition to the share, over all nodes */
 } fq_mesh_params_t;
 
 /** struct fq_mesh_options_t - start from FQ_MESH_OPTIONS_INIT; strings are copied. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -434,6 +434,7 @@
     .body_bytes_max
     = (uint64_t)(node->settings.memory_mb * FQ_BYTES_PER_MB / FQ_GATE_BODIES_DIVISOR),
     .memory_bytes = fq_memory_limit () / FQ_PERCENT * FQ_GATE_MEMORY_PERCENT,
+    .new_request_bytes = fq_memory_limit () / FQ_PERCENT * FQ_NEW_REQUEST_MEMORY_PERCENT,
     .retry_ratio = node->settings.retry_ratio,
     .retry_window_ms = node->settings.retry_window_ms,
     .retry_slack = node->settings.retry_slack,
--- a/src/node/node_http.c
+++ b/src/node/node_http.c
@@ -46,6 +46,7 @@
   options.head_timeout_ms = limits->head_timeout_ms;
   options.idle_timeout_ms = limits->idle_timeout_ms;
   options.connections_max = connection_limit (&node->settings);
+  options.memory_percent = FQ_NEW_REQUEST_MEMORY_PERCENT;
   fq_http_server_set_options (node->requests, &options);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -15,6 +15,8 @@
 
 #define FQ_PATH_MAX_BYTES 1024
 #define FQ_BYTES_PER_MB (1024u * 1024u)
+/* Requests without a body begin while no more than this share is held. */
+#define FQ_NEW_REQUEST_MEMORY_PERCENT 50
 
 /** FQ_REJECTED_STATUSES - with how many statuses incomplete requests are rejected. */
 #define FQ_REJECTED_STATUSES 7
--- a/tests/mesh/mesh_fleet.h
+++ b/tests/mesh/mesh_fleet.h
@@ -97,7 +97,8 @@
   fq_config_t *config;
   fq_config_t *newer_config; /* what CONFIG frames carry; NULL: they are lost */
   fq_id_t next_request;
-  uint64_t memory_held; /* by each node, as its shell counts */
+  uint64_t memory_held;       /* by each node, as its shell counts */
+  uint64_t new_request_bytes; /* parameter of nodes that start from now on */
 } fleet_t;
 
 /* A string that lives as long as the test. */
@@ -490,6 +491,7 @@
   options.seed = node + 1;
   options.params.body_bytes_max = FLEET_BODY_BYTES_MAX;
   options.params.memory_bytes = FLEET_MEMORY_BYTES;
+  options.params.new_request_bytes = fleet->new_request_bytes;
   fleet->nodes[node].down = false;
   fleet->nodes[node].generation++;
   ck_assert_int_eq (fq_mesh_new (&fleet->nodes[node].mesh, &options, fleet->now), 0);
--- a/tests/mesh/test_mesh_server.c
+++ b/tests/mesh/test_mesh_server.c
@@ -526,6 +526,31 @@
 }
 END_TEST
 
+/* Guards against review/11: requests began while answers that clients had not read took
+ * the memory, and clients were cut in the middle of theirs. */
+START_TEST (test_request_without_memory_for_its_answer_is_refused)
+{
+  const fleet_reply_t *reply;
+  fq_id_t request;
+
+  fleet.new_request_bytes = 1000;
+  fleet_kill (&fleet, 0);
+  fleet_start (&fleet, 0);
+  fleet_advance (&fleet, 300);
+  fleet.memory_held = 1000;
+  fleet_send_request (&fleet, 0, "/safe/1", "fits", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_ptr_nonnull (fleet_find_active_run (&fleet, "fits"));
+  fleet.memory_held = 1001;
+  request = fleet_send_request (&fleet, 0, "/safe/1", "none", "");
+  fleet_advance (&fleet, 10);
+  ck_assert_ptr_null (fleet_find_active_run (&fleet, "none"));
+  reply = fleet_find_reply (&fleet, request);
+  ck_assert_ptr_nonnull (reply);
+  ck_assert_uint_eq (reply->status, 503);
+}
+END_TEST
+
 /* A body is held twice while it arrives. A row: what is held besides, and whether there
  * is room for the body. */
 static const struct
@@ -607,6 +632,7 @@
   tcase_add_loop_test (tcase, test_late_reports_before_the_health_check_are_not_trusted,
                        0, 6);
   tcase_add_test (tcase, test_unanswered_health_check_is_repeated);
+  tcase_add_test (tcase, test_request_without_memory_for_its_answer_is_refused);
   tcase_add_test (tcase, test_server_with_bad_health_check_is_used_after_a_restart);
   tcase_add_test (tcase,
                   test_first_report_to_restarted_node_is_confirmed_by_health_check);
