Tests: one event loop for tests of answers, one function that moves a route

Three unit tests of a node's calls opened the same listener and ran the same loop; two process tests wrote the same configuration. They share tests/node/loop_rig.h, put_route and knows now.

--- a/tests/node/test_server_answers.c
+++ b/tests/node/test_server_answers.c
@@ -3,14 +3,12 @@
  * writes once more on a kept connection, and heads that break off.
  */
 #define _GNU_SOURCE
-#include <arpa/inet.h>
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "loop_rig.h"
 #include "node/event_log.h"
 #include "node/server_calls.h"
 
@@ -34,8 +32,6 @@
   size_t body_bytes;
 } result_t;
 
-static struct ev_loop *loop;
-static fq_io_t io;
 static int listener;
 static fq_server_calls_t *calls;
 static result_t results[RUNS_MAX];
@@ -86,20 +82,12 @@
 static void
 setup (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
   char text[FQ_ADDRESS_BYTES];
 
   memset (results, 0, sizeof results);
   probe_ended = false;
-  loop = ev_loop_new (EVFLAG_AUTO);
-  ck_assert_int_eq (fq_io_open (&io, loop), 0);
-  listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&address, size), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  ck_assert_int_eq (getsockname (listener, (struct sockaddr *)&address, &size), 0);
-  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (address.sin_port));
+  rig_open ();
+  listener = rig_listen (text);
   ck_assert_int_eq (
       fq_server_calls_open (&calls, &io, text, MEMORY_BYTES, &handlers, NULL), 0);
 }
@@ -108,38 +96,16 @@
 teardown (void)
 {
   fq_server_calls_close (calls);
-  ev_run (loop, EVRUN_NOWAIT);
-  fq_io_close (&io);
-  ev_loop_destroy (loop);
+  rig_close ();
   close (listener);
 }
 
-static void
-on_step (struct ev_loop *running, ev_timer *timer, int events)
-{
-  (void)timer;
-  (void)events;
-  ev_break (running, EVBREAK_ALL);
-}
-
-static void
-run_for (double seconds)
-{
-  ev_timer timer;
-
-  ev_now_update (loop);
-  ev_timer_init (&timer, on_step, seconds, 0.);
-  ev_timer_start (loop, &timer);
-  ev_run (loop, 0);
-  ev_timer_stop (loop, &timer);
-}
-
 /* Runs the loop until @flag is set, or for WAIT_STEPS. */
 static void
 run_until (const bool *flag)
 {
   for (int step = 0; !*flag && step < WAIT_STEPS; step++)
-    run_for (WAIT_STEP_SECONDS);
+    rig_run_for (WAIT_STEP_SECONDS);
 }
 
 /* With a body of @body_bytes. */
@@ -193,7 +159,7 @@
 
   for (int step = 0; step < WAIT_STEPS; step++)
     {
-      run_for (WAIT_STEP_SECONDS);
+      rig_run_for (WAIT_STEP_SECONDS);
       if (kept >= 0 && recv (kept, request, sizeof request, MSG_DONTWAIT) > 0)
         return kept;
       if (fd < 0)
@@ -303,7 +269,7 @@
   if (repeat.time == LATE)
     {
       write_text (first, copy, strlen (copy));
-      run_for (STEP_SECONDS);
+      rig_run_for (STEP_SECONDS);
     }
   snprintf (glued, sizeof glued, "%s%s%s", repeat.time == GLUED_BEFORE ? copy : "",
             answer, repeat.time == GLUED_AFTER ? copy : "");
@@ -343,7 +309,7 @@
   fq_server_calls_probe (calls, "/health");
   second = await_request (first);
   write_text (first, refusal, strlen (refusal));
-  run_for (STEP_SECONDS);
+  rig_run_for (STEP_SECONDS);
   ck_assert (!probe_ended);
   write_text (second, healthy, strlen (healthy));
   run_until (&probe_ended);
@@ -384,7 +350,7 @@
   start_upload (1, "r1", false, early->body_bytes, TIME_LIMIT_MS);
   first = await_request (-1);
   (void)!recv (first, part, sizeof part, MSG_DONTWAIT);
-  run_for (STEP_SECONDS);
+  rig_run_for (STEP_SECONDS);
   format_answer (answer, early->status, "r1", early->field);
   write_text (first, answer, strlen (answer));
   run_until (&results[1].ended);
@@ -392,7 +358,7 @@
   start_call (2, "r2", false);
   for (int step = 0; second < 0 && step < WAIT_STEPS; step++)
     {
-      run_for (WAIT_STEP_SECONDS);
+      rig_run_for (WAIT_STEP_SECONDS);
       second = accept (listener, NULL, NULL);
     }
   ck_assert_msg (second >= 0, "the request waits on the first connection");
@@ -414,13 +380,13 @@
 
   start_upload (1, "r1", false, body_bytes, 8000);
   fd = await_request (-1);
-  run_for (pauses[_i]);
+  rig_run_for (pauses[_i]);
   ck_assert_msg (!results[1].ended, "failure %d", results[1].failure);
   for (int step = 0; received < body_bytes && step < WAIT_STEPS; step++)
     {
       ssize_t size;
 
-      run_for (WAIT_STEP_SECONDS);
+      rig_run_for (WAIT_STEP_SECONDS);
       while ((size = recv (fd, part, sizeof part, MSG_DONTWAIT)) > 0)
         received += (size_t)size;
     }
@@ -494,7 +460,7 @@
           setup ();
           fd = begin_answer ((preceding_t)preceding);
           write_text (fd, whole_answer, sent);
-          run_for (STEP_SECONDS / 4);
+          rig_run_for (STEP_SECONDS / 4);
           if (resets)
             setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
           close (fd);
@@ -523,7 +489,7 @@
   fq_server_calls_probe (calls, "/health");
   fd = await_request (-1);
   write_text (fd, healthy, (size_t)_i);
-  run_for (STEP_SECONDS / 4);
+  rig_run_for (STEP_SECONDS / 4);
   close (fd);
   run_until (&probe_ended);
   ck_assert (probe_ended);
--- a/tests/node/test_server_calls.c
+++ b/tests/node/test_server_calls.c
@@ -3,14 +3,12 @@
  * that answers one of them twice.
  */
 #define _GNU_SOURCE
-#include <arpa/inet.h>
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "loop_rig.h"
 #include "node/event_log.h"
 #include "node/server_calls.h"
 
@@ -21,8 +19,6 @@
 static const char rejection[] = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: "
                                 "1\r\nContent-Length: 0\r\n\r\n";
 
-static struct ev_loop *loop;
-static fq_io_t io;
 static int listener;
 static fq_server_calls_t *calls;
 static int probed_count;
@@ -72,18 +68,10 @@
 static void
 setup (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
   char text[FQ_ADDRESS_BYTES];
 
-  loop = ev_loop_new (EVFLAG_AUTO);
-  ck_assert_int_eq (fq_io_open (&io, loop), 0);
-  listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&address, size), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  ck_assert_int_eq (getsockname (listener, (struct sockaddr *)&address, &size), 0);
-  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (address.sin_port));
+  rig_open ();
+  listener = rig_listen (text);
   ck_assert_int_eq (
       fq_server_calls_open (&calls, &io, text, MEMORY_BYTES, &handlers, NULL), 0);
 }
@@ -92,32 +80,10 @@
 teardown (void)
 {
   fq_server_calls_close (calls);
-  ev_run (loop, EVRUN_NOWAIT);
-  fq_io_close (&io);
-  ev_loop_destroy (loop);
+  rig_close ();
   close (listener);
 }
 
-static void
-on_step (struct ev_loop *running, ev_timer *timer, int events)
-{
-  (void)timer;
-  (void)events;
-  ev_break (running, EVBREAK_ALL);
-}
-
-static void
-run_step (void)
-{
-  ev_timer timer;
-
-  ev_now_update (loop);
-  ev_timer_init (&timer, on_step, STEP_SECONDS, 0.);
-  ev_timer_start (loop, &timer);
-  ev_run (loop, 0);
-  ev_timer_stop (loop, &timer);
-}
-
 static void
 send_text (int fd, const char *text)
 {
@@ -151,17 +117,17 @@
   int fd;
 
   fq_server_calls_probe (calls, "/health");
-  run_step ();
+  rig_run_for (STEP_SECONDS);
   fd = accept (listener, NULL, NULL);
   ck_assert_int_ge (fd, 0);
   send_text (fd, rejection);
-  run_step ();
+  rig_run_for (STEP_SECONDS);
   ck_assert_int_eq (probed_count, 1);
   start_call ();
-  run_step ();
+  rig_run_for (STEP_SECONDS);
   /* The connection may be gone. */
   (void)!send (fd, rejection, strlen (rejection), MSG_NOSIGNAL);
-  run_step ();
+  rig_run_for (STEP_SECONDS);
   ck_assert_int_eq (answered_count, 0);
   ck_assert_int_eq (failed_count, 0);
   close (fd);
--- a/tests/node/test_store_answers.c
+++ b/tests/node/test_store_answers.c
@@ -5,14 +5,12 @@
  * Several stores run at the same time, each with a node of its own.
  */
 #define _GNU_SOURCE
-#include <arpa/inet.h>
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "loop_rig.h"
 #include "node/event_log.h"
 #include "node/store_watch.h"
 #include "util/base64.h"
@@ -45,8 +43,6 @@
   unsigned int reads;
 } store_t;
 
-static struct ev_loop *loop;
-static fq_io_t io;
 static store_t stores[PRECEDINGS];
 
 static void
@@ -80,17 +76,10 @@
 static void
 open_store (store_t *store, preceding_t preceding)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t size = sizeof address;
   char text[FQ_ADDRESS_BYTES];
 
   *store = (store_t){ .preceding = preceding };
-  store->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (store->listener, (struct sockaddr *)&address, size), 0);
-  ck_assert_int_eq (listen (store->listener, CONNECTIONS_MAX), 0);
-  ck_assert_int_eq (getsockname (store->listener, (struct sockaddr *)&address, &size), 0);
-  snprintf (text, sizeof text, "127.0.0.1:%d", ntohs (address.sin_port));
+  store->listener = rig_listen (text);
   ck_assert_int_eq (
       fq_store_watch_open (&store->watch, &io, text, NODE_ADDRESS, &handlers, store), 0);
 }
@@ -98,8 +87,7 @@
 static void
 setup (void)
 {
-  loop = ev_loop_new (EVFLAG_AUTO);
-  ck_assert_int_eq (fq_io_open (&io, loop), 0);
+  rig_open ();
   for (int i = 0; i < PRECEDINGS; i++)
     open_store (&stores[i], (preceding_t)i);
 }
@@ -114,29 +102,7 @@
         close (stores[i].connections[j]);
       close (stores[i].listener);
     }
-  ev_run (loop, EVRUN_NOWAIT);
-  fq_io_close (&io);
-  ev_loop_destroy (loop);
-}
-
-static void
-on_step (struct ev_loop *running, ev_timer *timer, int events)
-{
-  (void)timer;
-  (void)events;
-  ev_break (running, EVBREAK_ALL);
-}
-
-static void
-run_step (void)
-{
-  ev_timer timer;
-
-  ev_now_update (loop);
-  ev_timer_init (&timer, on_step, STEP_SECONDS, 0.);
-  ev_timer_start (loop, &timer);
-  ev_run (loop, 0);
-  ev_timer_stop (loop, &timer);
+  rig_close ();
 }
 
 /* An answer with the configuration of that version. */
@@ -236,7 +202,7 @@
 
   for (; waited < WAIT_SECONDS && !all_have_read (2); waited += STEP_SECONDS)
     {
-      run_step ();
+      rig_run_for (STEP_SECONDS);
       for (int i = 0; i < PRECEDINGS; i++)
         {
           int fd = next_request (&stores[i]);
@@ -277,7 +243,7 @@
   if (store->requests == 1 && repeat == AT_ONCE)
     write_text (fd, refusal, strlen (refusal));
   if (store->requests == 2 && repeat == LATE)
-    run_step ();
+    rig_run_for (STEP_SECONDS);
   if (store->requests >= 2)
     write_text (fd, text, size);
 }
@@ -289,7 +255,7 @@
   for (double waited = 0; waited < WAIT_SECONDS && !all_have_read (2);
        waited += STEP_SECONDS)
     {
-      run_step ();
+      rig_run_for (STEP_SECONDS);
       for (int i = 0; i < PRECEDINGS; i++)
         {
           int fd = next_request (&stores[i]);
--- a/tests/process/node_lib.sh
+++ b/tests/process/node_lib.sh
@@ -46,6 +46,31 @@
     \"value\":\"$(echo -n "$document" | base64 -w 0)\"}],\"remove\":[]}"
 }
 
+# put_route VERSION SERVICE OTHER...: /once/ of host h goes to SERVICE; the configuration names these services.
+put_route ()
+{
+  local version=$1 service document services=''
+  shift
+  for service in "$@"; do
+    services+="{\"name\":\"$service\",\"health_path\":\"/health\",\"max_connections\":50},"
+  done
+  document="{\"version\":$version,\"services\":[${services%,}],"
+  document+="\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":$max_body_bytes,"
+  document+="\"header_timeout\":\"1s\",\"idle_timeout\":\"10s\"},"
+  document+="\"virtual_hosts\":[{\"host\":\"h\",\"paths\":[{\"name\":\"r\",\"prefix\":\"/once/\","
+  document+="\"route_type\":\"unsafe\",\"timeout\":\"2s\",\"target_latency\":\"1s\",\"max_attempts\":2,"
+  document+="\"priority\":1,\"service\":\"$1\"}]}]}"
+  curl -s -f -o /dev/null "http://$store/v1/rows-tx" -d "{\"precondition\":[],\"put\":[{
+    \"table\":\"op\",\"part\":\"\",\"key\":\"config\",
+    \"value\":\"$(echo -n "$document" | base64 -w 0)\"}],\"remove\":[]}"
+}
+
+# knows NUMBER COUNT: that node is connected to so many others.
+knows ()
+{
+  [ "$(curl -s "http://$(ip "$1"):$metrics_port/metrics" | sed -n 's/^fq_gates_up //p')" = "$2" ]
+}
+
 write_settings () # NUMBER SERVICE
 {
   cat >"$work/m$1.json" <<END
--- a/tests/process/test_quiet_node_learns_of_change.sh
+++ b/tests/process/test_quiet_node_learns_of_change.sh
@@ -8,29 +8,11 @@
 proxy="$(ip 1):$((base + 8))"
 contact_seconds=3
 
-# put_service VERSION SERVICE: /once/ of host h goes to SERVICE.
-put_service ()
-{
-  local document service services=''
-  for service in front old new; do
-    services+="{\"name\":\"$service\",\"health_path\":\"/health\",\"max_connections\":50},"
-  done
-  document="{\"version\":$1,\"services\":[${services%,}],"
-  document+="\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":$max_body_bytes,"
-  document+="\"header_timeout\":\"1s\",\"idle_timeout\":\"10s\"},"
-  document+="\"virtual_hosts\":[{\"host\":\"h\",\"paths\":[{\"name\":\"r\",\"prefix\":\"/once/\","
-  document+="\"route_type\":\"unsafe\",\"timeout\":\"2s\",\"target_latency\":\"1s\",\"max_attempts\":2,"
-  document+="\"priority\":1,\"service\":\"$2\"}]}]}"
-  curl -s -f -o /dev/null "http://$store/v1/rows-tx" -d "{\"precondition\":[],\"put\":[{
-    \"table\":\"op\",\"part\":\"\",\"key\":\"config\",
-    \"value\":\"$(echo -n "$document" | base64 -w 0)\"}],\"remove\":[]}"
-}
 is_served_once () { [ "$(send 1 /once/1 "first-$((++sent))" -X POST)" = 200 ]; }
-knows_all () { [ "$(curl -s "http://$(ip "$1"):$metrics_port/metrics" | sed -n 's/^fq_gates_up //p')" = $((nodes - 1)) ]; }
 sent=0
 
 start_store
-put_service 1 old
+put_route 1 old new front
 mkfifo "$work/proxy.in"
 "$build/fq-standin-proxy" "$proxy" "$store" <>"$work/proxy.in" >"$work/proxy.log" 2>&1 &
 pids+=($!)
@@ -48,7 +30,7 @@
   fi
 done
 for i in $(seq $nodes); do
-  wait_for 10 knows_all "$i" || fail "node $i does not know the others"
+  wait_for 10 knows "$i" $((nodes - 1)) || fail "node $i does not know the others"
 done
 wait_for 10 is_served_once || fail "the service is not served"
 
@@ -56,7 +38,7 @@
 # The two nodes that come before node 1 in the order of addresses.
 kill -STOP "$(pid_of m$nodes)" "$(pid_of m$((nodes - 1)))"
 sleep 0.5
-put_service 2 new
+put_route 2 new old front
 kill -KILL "$(pid_of m$nodes)" "$(pid_of m$((nodes - 1)))"
 sleep $contact_seconds
 for i in $(seq 20); do
