--- a/src/mesh/mesh_private.h
+++ b/src/mesh/mesh_private.h
@@ -197,7 +197,7 @@
   fq_time_t rate_stated_at; /* when an answer stated the rate limit last */
   uint32_t rate_unstated;   /* answers since then that did not */
   bool probed;              /* a probe for the server's health and instance was sent */
-  bool confirmed; /* the server is known to be ready: by a probe or a second report */
+  bool confirmed; /* the server is known to be ready: by a probe or a later report */
   fq_time_t answered_at; /* when the server answered a run last */
   fq_time_t drain_until; /* 0: it does not drain */
   fq_timer_entry_t timer;
